--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -5,8 +5,9 @@
 	"math"
 	"time"
 
-	"spoollink/internal/wire"
-	"spoollink/policy"
+	"frostpier/internal/settings"
+	"frostpier/internal/wire"
+	"frostpier/policy"
 )
 
 // link holds what a process holds: the numbered lists and a Gateway for each instance.
@@ -44,15 +45,15 @@
 		l.banks[e.Bank] = e.Entries
 		return nil
 	case *wire.Up:
-		settings, err := parseSettings(e.Setup)
+		told, err := settings.Parse(e.Setup)
 		if err != nil {
 			return fmt.Errorf("settings of instance %d: %w", e.Inst, err)
 		}
-		g, err := policy.New(settings, e.Seed)
+		g, err := policy.New(told, e.Seed)
 		if err != nil {
 			return fmt.Errorf("settings of instance %d: %w", e.Inst, err)
 		}
-		l.instances[e.Inst] = &instance{gateway: g, figures: settings.Figures}
+		l.instances[e.Inst] = &instance{gateway: g, figures: told.Figures}
 		return nil
 	case *wire.Teardown:
 		delete(l.instances, e.Inst)
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,7 +8,7 @@
 	"io"
 	"os"
 
-	"spoollink/internal/wire"
+	"frostpier/internal/wire"
 )
 
 func main() {
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"spoollink/internal/wire"
+	"frostpier/internal/wire"
 )
 
 const plainSetup = `{"classes":[{"name":"q","objective":1000000000,"give_up":5000000000,"repeat":"retryable",
--- /dev/null
+++ b/cmd/frostpier/main.go
@@ -0,0 +1,27 @@
+// Frostpier is a workload manager: it takes queries from clients and has the engines of a pool run them, each
+// where the decision module sends it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	level := slog.LevelInfo
+	if os.Getenv("FROSTPIER_DEBUG") != "" {
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(term, log); err != nil {
+		log.Error("cannot serve", "error", err)
+		fmt.Fprintln(os.Stderr, "frostpier:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/frostpier/run.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"frostpier/internal/bulletin"
+	"frostpier/internal/core"
+	"frostpier/internal/invariant"
+	"frostpier/internal/netio"
+	"frostpier/internal/settings"
+)
+
+// Times of a planned stop: new connections may come for 0.4 s and requests for 0.2 s more; the kill comes no
+// sooner than 3.7 s after SIGTERM where the longest deadline is over 3 s.
+const (
+	acceptFor  = 750 * time.Millisecond
+	answerWait = 3200 * time.Millisecond
+	exitWait   = 3500 * time.Millisecond
+	flushWait  = 50 * time.Millisecond
+	statsEvery = 10 * time.Second
+)
+
+// run serves until term ends and what was taken is answered.
+func run(term context.Context, log *slog.Logger) error {
+	text, err := os.ReadFile(os.Getenv("GW_CONFIG"))
+	if err != nil {
+		return fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	conf, err := settings.ParseConfig(text)
+	if err != nil {
+		return err
+	}
+	if listen := os.Getenv("GW_LISTEN"); listen != "" {
+		conf.Listen = listen
+	}
+	host, err := settings.ParseHost(conf.Settings)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(conf.Limits.Cores)))
+	debug.SetMemoryLimit(conf.Limits.MemoryMB << 20 * 6 / 10)
+
+	loop := netio.NewLoop(time.Now())
+	keep := invariant.New(log)
+	heart, err := core.New(host, conf.SeedNumber(), log, keep)
+	if err != nil {
+		return err
+	}
+	pool := netio.NewPool(loop, log, host.ConnectTimeout, host.ConnIdle, conf.Limits.Sockets/2)
+	gateway := netio.NewGateway(loop, heart, pool, log)
+	stream := &bulletin.Stream{}
+	known, err := stream.Known(conf.Known)
+	if err != nil {
+		log.Warn("known events not all used", "error", err)
+	}
+	clients := netio.NewClients(gateway, log, conf.Limits.Sockets*2/5)
+	p := &program{loop: loop, gateway: gateway, clients: clients, keep: keep, log: log}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p.cancel = cancel
+	go loop.Run(ctx)
+	loop.Do(func() {
+		for _, e := range known {
+			gateway.Roster(e.Whole, e.Lines)
+		}
+		if conf.Bulletin != "" {
+			netio.NewFeed(gateway, log, conf.Bulletin, stream).Connect()
+		}
+		p.stats()
+	})
+	if err := clients.Serve(conf.Listen); err != nil {
+		return err
+	}
+	log.Info("serving", "name", conf.Name, "listen", conf.Listen, "bulletin", conf.Bulletin, "events", len(known))
+	select {
+	case <-term.Done():
+		loop.Do(p.drain)
+	case <-ctx.Done():
+	}
+	<-ctx.Done()
+	log.Info("stopped", "counts", heart.Counts(), "invariants", keep.Broken())
+	return nil
+}
+
+// program is what a stop has to reach.
+type program struct {
+	loop    *netio.Loop
+	gateway *netio.Gateway
+	clients *netio.Clients
+	keep    *invariant.Keeper
+	log     *slog.Logger
+	cancel  func()
+}
+
+// drain is the planned stop: ping tells at once, connections and requests are still taken for the stated time,
+// and all that was taken is answered before the end.
+func (p *program) drain() {
+	p.log.Info("stopping", "open", p.gateway.Core.Open(), "out", p.gateway.Core.Out())
+	p.clients.Drain()
+	p.loop.After(acceptFor, func() {
+		p.clients.Stop()
+		p.gateway.WhenIdle(p.end)
+	})
+	p.loop.After(answerWait, p.gateway.Close)
+	p.loop.After(exitWait, p.end)
+}
+
+func (p *program) end() {
+	p.clients.Finish()
+	p.loop.After(flushWait, p.cancel)
+}
+
+// stats logs the counts now and then.
+func (p *program) stats() {
+	p.loop.After(statsEvery, func() {
+		c := p.gateway.Core
+		p.log.Info("counts", "total", c.Counts(), "open", c.Open(), "out", c.Out(), "invariants", p.keep.Broken())
+		p.stats()
+	})
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,329 @@
+// Package core owns the decision module, the requests, their attempts and the list of engines. It is handed
+// events with the time and returns actions; it knows no wire, socket or clock. All calls come from one goroutine.
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"frostpier/internal/invariant"
+	"frostpier/internal/settings"
+	"frostpier/policy"
+)
+
+// ID names a request; the core hands them out.
+type ID = policy.RequestID
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+	Late // failed, and the client's time is over
+)
+
+// Action is something that the host is to do.
+type Action interface{ action() }
+
+// Start asks for an attempt; before its first byte the host asks MaySend.
+type Start struct {
+	ID      ID
+	Attempt int
+	Engine  Engine
+	Timeout time.Duration
+}
+
+// Stop calls an attempt off; the host reports Ended once it is not out any more.
+type Stop struct {
+	ID      ID
+	Attempt int
+}
+
+// Reply is the one final answer of a request. Served comes in answer to the Ended that brought the result.
+type Reply struct {
+	ID       ID
+	Verdict  Verdict
+	ComeBack time.Duration // of a refusal
+}
+
+// Timer asks for a Due with this token.
+type Timer struct {
+	After time.Duration
+	Token uint64
+}
+
+func (Start) action() {}
+func (Stop) action()  {}
+func (Reply) action() {}
+func (Timer) action() {}
+
+// Ask is a query as the core sees it.
+type Ask struct {
+	Class      int
+	TableGroup int
+	Key        uint64
+	Cost       time.Duration // 0 = not told
+	NeedMB     float64
+	Remaining  time.Duration // until the client gives up
+	Repeat     bool          // a client's own retry
+}
+
+// Field is one value of a load report, by the name that the settings give it.
+type Field struct {
+	Name  string
+	Value float64
+}
+
+type request struct {
+	end      time.Duration
+	attempts []*attempt
+	out      int
+	replied  bool
+}
+
+type attempt struct {
+	engine  policy.EngineID
+	started time.Duration
+	timeout time.Duration
+	sent    bool // its first byte was allowed out
+	over    bool
+}
+
+// Core is the heart of one gateway.
+type Core struct {
+	gateway  *policy.Gateway
+	host     settings.Host
+	log      *slog.Logger
+	keep     *invariant.Keeper
+	requests map[ID]*request
+	engines  map[policy.EngineID]*Engine
+	classes  map[string]int
+	next     ID
+	open     int // requests without an answer
+	out      int // attempts
+	counts   Counts
+	actions  []Action
+}
+
+// Counts is what happened so far, for the log.
+type Counts struct {
+	Taken, Served, Refused, Failed, Left, Attempts, Further int
+}
+
+// New makes a Core; all chance comes from seed.
+func New(host settings.Host, seed uint64, log *slog.Logger, keep *invariant.Keeper) (*Core, error) {
+	gateway, err := policy.New(host.Module, seed)
+	if err != nil {
+		return nil, fmt.Errorf("decision module: %w", err)
+	}
+	c := &Core{gateway: gateway, host: host, log: log, keep: keep, requests: map[ID]*request{},
+		engines: map[policy.EngineID]*Engine{}, classes: map[string]int{}}
+	for i, class := range host.Module.Classes {
+		c.classes[class.Name] = i
+	}
+	return c, nil
+}
+
+// Class finds a class by its name.
+func (c *Core) Class(name string) (int, bool) {
+	i, known := c.classes[name]
+	return i, known
+}
+
+// Keyed tells whether queries of a class need a replay key.
+func (c *Core) Keyed(class int) bool { return c.host.Module.Classes[class].Effect == policy.Keyed }
+
+// Open is how many requests have no answer yet, and Out how many attempts are out.
+func (c *Core) Open() int { return c.open }
+
+// Out is how many attempts have not ended.
+func (c *Core) Out() int { return c.out }
+
+// Counts tells what happened so far.
+func (c *Core) Counts() Counts { return c.counts }
+
+// Take takes a request in and gives it its number.
+func (c *Core) Take(now time.Duration, a Ask) (ID, []Action) {
+	c.next++
+	id := c.next
+	c.requests[id] = &request{end: now + a.Remaining}
+	c.open++
+	c.counts.Taken++
+	if c.host.MaxOpen > 0 && c.open > c.host.MaxOpen { // more than the settings let one gateway hold
+		c.actions = nil
+		c.reply(id, Refused, c.host.ComeBack)
+		return id, c.actions
+	}
+	return id, c.tell(now, policy.Arrival{ID: id, Class: a.Class, Key: a.Key, TableGroup: a.TableGroup, Cost: a.Cost,
+		NeedMB: a.NeedMB, Remaining: a.Remaining, Repeat: a.Repeat})
+}
+
+// Leave says that the client wants no answer any more. What is out is called off.
+func (c *Core) Leave(now time.Duration, id ID) []Action {
+	r := c.requests[id]
+	if r == nil || r.replied {
+		return nil
+	}
+	r.replied = true
+	c.open--
+	c.counts.Left++
+	actions := c.tell(now, policy.ClientLeft{ID: id})
+	c.forget(id, r)
+	return actions
+}
+
+// MaySend is asked when an attempt's first byte could go out, after any dial: the engine may have been listed as
+// draining meanwhile, the client's time may be over, the attempt called off. It returns the time that is left.
+func (c *Core) MaySend(now time.Duration, id ID, n int) (time.Duration, bool) {
+	r := c.requests[id]
+	if r == nil || n >= len(r.attempts) {
+		return 0, false
+	}
+	a := r.attempts[n]
+	left := min(r.end, a.started+a.timeout) - now
+	if a.over || r.replied || left <= 0 || c.engines[a.engine].Health != policy.Ready {
+		return 0, false
+	}
+	for i, other := range r.attempts {
+		if !c.keep.Holds(i == n || other.over, "one attempt out at a time", "request", id) {
+			return 0, false
+		}
+	}
+	a.sent = true
+	return left, true
+}
+
+// Ended reports the one end of an attempt. It must come only once the attempt is certainly not out any more.
+func (c *Core) Ended(now time.Duration, id ID, n int, outcome policy.Outcome, fields []Field) []Action {
+	r := c.requests[id]
+	known := r != nil && n < len(r.attempts) && !r.attempts[n].over
+	if !c.keep.Holds(known, "an attempt ends once", "request", id, "attempt", n) {
+		return nil
+	}
+	a := r.attempts[n]
+	a.over = true
+	r.out--
+	c.out--
+	if c.keep.Holds(a.sent || outcome.NeverRan() || outcome == policy.Cancelled, "nothing ran unsent", "outcome", outcome) {
+		c.log.Debug("attempt ended", "request", id, "attempt", n, "outcome", outcome, "took", now-a.started)
+	}
+	end := policy.AttemptEnded{ID: id, Attempt: n, Engine: a.engine, Outcome: outcome, Took: now - a.started,
+		Terminal: r.replied || outcome == policy.OK, Report: c.report(fields)}
+	c.actions = nil
+	if outcome == policy.OK && !r.replied {
+		c.reply(id, Served, 0)
+	}
+	answered := c.actions
+	actions := append(answered, c.tell(now, end)...)
+	c.forget(id, r)
+	return actions
+}
+
+// Progress passes on an engine's word of how far an attempt is.
+func (c *Core) Progress(now time.Duration, id ID, n int, done float64) []Action {
+	return c.tell(now, policy.Progress{ID: id, Attempt: n, Done: done})
+}
+
+// Due passes on a timer that the module asked for.
+func (c *Core) Due(now time.Duration, token uint64) []Action {
+	return c.tell(now, policy.TimerFired{Token: token})
+}
+
+// Close has all that is open answered now.
+func (c *Core) Close(now time.Duration) []Action { return c.tell(now, policy.Closing{}) }
+
+// tell hands the module an event and turns its actions into the host's.
+func (c *Core) tell(now time.Duration, ev policy.Event) []Action {
+	c.actions = nil
+	for _, a := range c.gateway.Handle(now, ev) {
+		c.take(now, a)
+	}
+	return c.actions
+}
+
+func (c *Core) take(now time.Duration, action policy.Action) {
+	switch a := action.(type) {
+	case policy.Send:
+		c.start(now, a)
+	case policy.Cancel:
+		c.actions = append(c.actions, Stop{ID: a.ID, Attempt: a.Attempt})
+	case policy.Refuse:
+		back := a.ComeBack
+		if back == 0 {
+			back = c.host.ComeBack
+		}
+		c.reply(a.ID, Refused, back)
+	case policy.Fail:
+		verdict := Failed
+		if r := c.requests[a.ID]; r != nil && r.end-now <= 10*c.host.Module.Tick {
+			verdict = Late
+		}
+		c.reply(a.ID, verdict, 0)
+	case policy.SetTimer:
+		c.actions = append(c.actions, Timer{After: a.After, Token: a.Token})
+	case policy.Log:
+		c.log.Info("decision module", "says", a.Text)
+	case policy.Subscribe, policy.Probe, policy.Terms: // the bulletin pushes; probes and terms are not heeded here
+	}
+}
+
+func (c *Core) start(now time.Duration, s policy.Send) {
+	r, e := c.requests[s.ID], c.engines[s.Engine]
+	if !c.keep.Holds(r != nil && !r.replied && r.out == 0 && e != nil, "an attempt is for an open request", "request", s.ID) {
+		return
+	}
+	n := len(r.attempts)
+	r.attempts = append(r.attempts, &attempt{engine: s.Engine, started: now, timeout: s.Timeout})
+	r.out++
+	c.out++
+	c.counts.Attempts++
+	if n > 0 {
+		c.counts.Further++
+	}
+	c.actions = append(c.actions, Start{ID: s.ID, Attempt: n, Engine: *e, Timeout: s.Timeout})
+}
+
+// reply gives the final answer, once.
+func (c *Core) reply(id ID, v Verdict, back time.Duration) {
+	r := c.requests[id]
+	if !c.keep.Holds(r != nil && !r.replied, "a request is answered once", "request", id) {
+		return
+	}
+	r.replied = true
+	c.open--
+	switch v {
+	case Served:
+		c.counts.Served++
+	case Refused:
+		c.counts.Refused++
+	default:
+		c.counts.Failed++
+	}
+	c.actions = append(c.actions, Reply{ID: id, Verdict: v, ComeBack: min(back, c.host.ComeBack)})
+	c.forget(id, r)
+}
+
+// forget drops a request that is answered and has nothing out.
+func (c *Core) forget(id ID, r *request) {
+	if r.replied && r.out == 0 {
+		delete(c.requests, id)
+	}
+}
+
+func (c *Core) report(fields []Field) policy.Report {
+	if len(fields) == 0 {
+		return policy.Report{}
+	}
+	out := policy.Report{Present: true, Values: make(map[policy.Figure]float64, len(fields))}
+	for _, f := range fields {
+		out.Values[settings.FigureOf(f.Name)] = f.Value
+	}
+	return out
+}
+
+// ClassName is the name of a class.
+func (c *Core) ClassName(class int) string { return c.host.Module.Classes[class].Name }
--- /dev/null
+++ b/internal/invariant/debug.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package invariant
+
+func stop(what string) { panic("invariant broken: " + what) }
--- /dev/null
+++ b/internal/jsonrpc/jsonrpc.go
@@ -0,0 +1,246 @@
+// Package jsonrpc is the platform's front as a state machine: lines of a client in, calls out, answers back as
+// lines. It knows no socket and no clock.
+package jsonrpc
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Bounds of what a client may send.
+const (
+	maxLine = 1 << 20
+	maxOpen = 32
+	maxWait = 24 * time.Hour
+)
+
+// The codes of errors.
+const (
+	codeParse   = -32700
+	codeRequest = -32600
+	codeMethod  = -32601
+	codeParams  = -32602
+	codeRefused = -32008
+	codeFailed  = -32013
+)
+
+// ErrLost says that the framing is lost: the connection is to be closed.
+var ErrLost = errors.New("line too long")
+
+// Call is a query that a client asks for.
+type Call struct {
+	Class     int
+	ID        string // as it came
+	RID       string
+	Token     string
+	Statement []byte
+	Budget    time.Duration
+	Cost      time.Duration
+	NeedMB    float64
+	Repeat    bool
+}
+
+// Event is what a line means: exactly one of its fields is set.
+type Event struct {
+	Call  *Call
+	Abort string // the id of the call that its client wants no more
+	Ping  string // the id to answer
+	Reply []byte // a line to send at once
+}
+
+// Classes tells the front which methods there are.
+type Classes interface {
+	Class(name string) (int, bool)
+	Keyed(class int) bool
+}
+
+// Session is one connection of a client.
+type Session struct {
+	classes Classes
+	buf     []byte
+	seen    int               // of buf, without a line feed
+	open    map[string]string // rid by id
+}
+
+// NewSession makes a Session.
+func NewSession(classes Classes) *Session {
+	return &Session{classes: classes, open: map[string]string{}}
+}
+
+// Open is how many calls have no answer yet.
+func (s *Session) Open() int { return len(s.open) }
+
+// Done says that a call got its answer or needs none.
+func (s *Session) Done(id string) { delete(s.open, id) }
+
+// Feed takes bytes in and returns what the lines that are whole with them mean.
+func (s *Session) Feed(b []byte) ([]Event, error) {
+	s.buf = append(s.buf, b...)
+	var out []Event
+	for {
+		end := bytes.IndexByte(s.buf[s.seen:], '\n')
+		if end < 0 {
+			if s.seen = len(s.buf); s.seen > maxLine {
+				return out, ErrLost
+			}
+			if s.seen == 0 {
+				s.buf = nil
+			}
+			return out, nil
+		}
+		line := s.buf[:s.seen+end]
+		s.buf, s.seen = s.buf[s.seen+end+1:], 0
+		if len(line) > maxLine {
+			return out, ErrLost
+		}
+		if line = bytes.TrimSpace(line); len(line) > 0 {
+			out = append(out, s.line(line))
+		}
+	}
+}
+
+type message struct {
+	Version string          `json:"jsonrpc"`
+	ID      json.RawMessage `json:"id"`
+	Method  string          `json:"method"`
+	Params  json.RawMessage `json:"params"`
+}
+
+type params struct {
+	RID    string          `json:"rid"`
+	ID     json.RawMessage `json:"id"`
+	Budget float64         `json:"budget"`
+	Again  any             `json:"again"`
+	Token  string          `json:"token"`
+	Est    float64         `json:"est"`
+	RAM    float64         `json:"ram"`
+	Blob   *string         `json:"blob"`
+}
+
+func (s *Session) line(line []byte) Event {
+	var m message
+	if err := json.Unmarshal(line, &m); err != nil {
+		return bad("null", codeParse, "not a JSON-RPC line")
+	}
+	id := string(m.ID)
+	if id == "" {
+		id = "null"
+	}
+	if m.Version != "2.0" || m.Method == "" || !plainID(id) {
+		return bad("null", codeRequest, "not a JSON-RPC 2.0 request")
+	}
+	var p params
+	if len(m.Params) > 0 {
+		if err := json.Unmarshal(m.Params, &p); err != nil {
+			return bad(id, codeParams, "params are of another form")
+		}
+	}
+	switch m.Method {
+	case "ping":
+		return Event{Ping: id}
+	case "abort":
+		return s.abort(id, p)
+	}
+	class, known := s.classes.Class(m.Method)
+	if !known {
+		return bad(id, codeMethod, "no such method")
+	}
+	if id == "null" {
+		return bad(id, codeRequest, "a query needs an id")
+	}
+	return s.call(id, class, p)
+}
+
+func (s *Session) call(id string, class int, p params) Event {
+	statement, err := decode(p.Blob)
+	_, twice := s.open[id]
+	switch {
+	case err != nil:
+		return bad(id, codeParams, "blob is not base64")
+	case !(p.Budget > 0) || p.Budget > float64(maxWait/time.Millisecond):
+		return bad(id, codeParams, "budget is not a time")
+	case !headerSafe(p.RID) || p.RID == "" || strings.ContainsAny(p.RID, "/ ?#%"):
+		return bad(id, codeParams, "rid is not a name")
+	case !headerSafe(p.Token):
+		return bad(id, codeParams, "token is not a key")
+	case s.classes.Keyed(class) && p.Token == "":
+		return bad(id, codeParams, "this class needs a token")
+	case !(p.Est >= 0) || !(p.RAM >= 0) || p.Est > 1e9 || p.RAM > 1e9:
+		return bad(id, codeParams, "est or ram is no figure")
+	case twice:
+		return bad(id, codeRequest, "the id is in use")
+	case len(s.open) >= maxOpen:
+		return bad(id, codeRequest, "too many calls are open")
+	}
+	s.open[id] = p.RID
+	return Event{Call: &Call{Class: class, ID: id, RID: p.RID, Token: p.Token, Statement: statement,
+		Budget: ms(p.Budget), Cost: ms(p.Est), NeedMB: p.RAM, Repeat: p.Again != nil && p.Again != false && p.Again != 0.0}}
+}
+
+// abort finds the call that is meant: by the id or the rid in its params, or by its own id.
+func (s *Session) abort(id string, p params) Event {
+	for _, name := range []string{string(p.ID), id} {
+		if _, open := s.open[name]; open {
+			return Event{Abort: name}
+		}
+	}
+	for open, rid := range s.open {
+		if p.RID != "" && rid == p.RID {
+			return Event{Abort: open}
+		}
+	}
+	return Event{}
+}
+
+func decode(blob *string) ([]byte, error) {
+	if blob == nil {
+		return nil, errors.New("no blob")
+	}
+	out, err := base64.StdEncoding.DecodeString(*blob)
+	if err != nil {
+		return nil, fmt.Errorf("blob: %w", err)
+	}
+	return out, nil
+}
+
+func ms(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+// plainID tells whether an id can be given back: a number, a string or null.
+func plainID(id string) bool {
+	return len(id) <= 64 && (id == "null" || id[0] == '"' || id[0] == '-' || id[0] >= '0' && id[0] <= '9')
+}
+
+// headerSafe tells whether a text can go into a header as it is.
+func headerSafe(s string) bool {
+	return len(s) <= 256 && strings.IndexFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f }) < 0
+}
+
+func bad(id string, code int, text string) Event {
+	return Event{Reply: fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"error":{"code":%d,"message":%q}}`+"\n", id, code, text)}
+}
+
+// Result is the line that serves a call.
+func Result(id string, body []byte) []byte {
+	b := fmt.Appendf(make([]byte, 0, len(body)*4/3+80), `{"jsonrpc":"2.0","id":%s,"result":{"blob":"`, id)
+	b = base64.StdEncoding.AppendEncode(b, body)
+	return append(b, "\"}}\n"...)
+}
+
+// Refused is the line that refuses a call and says when to come back.
+func Refused(id string, back time.Duration) []byte {
+	return fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"error":{"code":%d,"message":"Overloaded","data":{"backoff":%d}}}`+"\n",
+		id, codeRefused, back.Milliseconds())
+}
+
+// Failed is the line that fails a call.
+func Failed(id, why string) []byte { return bad(id, codeFailed, why).Reply }
+
+// Pong answers a ping.
+func Pong(id string, serving bool) []byte {
+	return fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"result":{"serving":%t}}`+"\n", id, serving)
+}
--- /dev/null
+++ b/internal/netio/gateway.go
@@ -0,0 +1,153 @@
+package netio
+
+import (
+	"log/slog"
+	"time"
+
+	"frostpier/internal/core"
+	"frostpier/policy"
+)
+
+// Caller is a front's side of a request: how its attempts are made and its answer is given.
+type Caller interface {
+	// Attempt starts an attempt, which calls Gateway.Ended once.
+	Attempt(a core.Start) Attempt
+	// Answer gives the final answer; result is what the attempt that served it brought.
+	Answer(r core.Reply, result any)
+}
+
+// Attempt is one that is out.
+type Attempt interface {
+	// GiveUp calls it off; it ends with outcome once it is not out any more.
+	GiveUp(outcome policy.Outcome)
+}
+
+// Gateway drives the core on the loop.
+type Gateway struct {
+	Loop  *Loop
+	Core  *core.Core
+	Pool  *Pool
+	Log   *slog.Logger
+	calls map[core.ID]*call
+	idle  func() // runs when nothing is open or out
+}
+
+type call struct {
+	caller  Caller
+	attempt Attempt
+	timer   *Timer // the attempt's time-out
+	number  int
+	replied bool
+}
+
+// NewGateway makes a Gateway.
+func NewGateway(loop *Loop, c *core.Core, pool *Pool, log *slog.Logger) *Gateway {
+	return &Gateway{Loop: loop, Core: c, Pool: pool, Log: log, calls: map[core.ID]*call{}}
+}
+
+// Take hands a request to the core.
+func (g *Gateway) Take(ask core.Ask, caller Caller, numbered func(core.ID)) {
+	id, actions := g.Core.Take(g.Loop.Now(), ask)
+	g.calls[id] = &call{caller: caller}
+	numbered(id)
+	g.carryOut(actions, nil)
+}
+
+// Leave says that a request's client wants no answer any more.
+func (g *Gateway) Leave(id core.ID) {
+	if c := g.calls[id]; c != nil {
+		c.replied = true
+		g.carryOut(g.Core.Leave(g.Loop.Now(), id), nil)
+		g.forget(id, c)
+	}
+}
+
+// Roster hands a list of engines to the core.
+func (g *Gateway) Roster(whole bool, lines []core.Line) {
+	gone, actions := g.Core.Roster(g.Loop.Now(), whole, lines)
+	for _, e := range gone {
+		g.Pool.Forget(e.ID)
+	}
+	g.carryOut(actions, nil)
+}
+
+// MaySend asks leave for an attempt's first byte.
+func (g *Gateway) MaySend(id core.ID, n int) (time.Duration, bool) {
+	return g.Core.MaySend(g.Loop.Now(), id, n)
+}
+
+// Progress passes on a note.
+func (g *Gateway) Progress(id core.ID, n int, done float64) {
+	g.carryOut(g.Core.Progress(g.Loop.Now(), id, n, done), nil)
+}
+
+// Ended reports the one end of an attempt.
+func (g *Gateway) Ended(id core.ID, n int, outcome policy.Outcome, report []core.Field, result any) {
+	c := g.calls[id]
+	if c != nil && c.number == n {
+		c.timer.Stop()
+		c.attempt = nil
+	}
+	g.carryOut(g.Core.Ended(g.Loop.Now(), id, n, outcome, report), result)
+	if c != nil {
+		g.forget(id, c)
+	}
+}
+
+// Close has all that is open answered.
+func (g *Gateway) Close() { g.carryOut(g.Core.Close(g.Loop.Now()), nil) }
+
+// WhenIdle sets what runs as soon as nothing is open or out.
+func (g *Gateway) WhenIdle(f func()) {
+	g.idle = f
+	g.checkIdle()
+}
+
+func (g *Gateway) checkIdle() {
+	if g.idle != nil && g.Core.Open() == 0 && g.Core.Out() == 0 {
+		f := g.idle
+		g.idle = nil
+		f()
+	}
+}
+
+func (g *Gateway) carryOut(actions []core.Action, result any) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case core.Start:
+			g.start(a)
+		case core.Stop:
+			if c := g.calls[a.ID]; c != nil && c.attempt != nil && c.number == a.Attempt {
+				c.attempt.GiveUp(policy.Cancelled)
+			}
+		case core.Reply:
+			if c := g.calls[a.ID]; c != nil {
+				c.replied = true
+				c.caller.Answer(a, result)
+				g.forget(a.ID, c)
+			}
+		case core.Timer:
+			g.Loop.After(a.After, func() { g.carryOut(g.Core.Due(g.Loop.Now(), a.Token), nil) })
+		}
+	}
+	g.checkIdle()
+}
+
+func (g *Gateway) start(a core.Start) {
+	c := g.calls[a.ID]
+	c.number = a.Attempt
+	c.attempt = c.caller.Attempt(a)
+	c.timer = g.Loop.After(a.Timeout, func() {
+		if c.attempt != nil {
+			c.attempt.GiveUp(policy.Timeout)
+		}
+	})
+}
+
+// forget drops what is answered and has nothing out.
+func (g *Gateway) forget(id core.ID, c *call) {
+	if c.replied && c.attempt == nil {
+		c.timer.Stop()
+		delete(g.calls, id)
+	}
+}
--- /dev/null
+++ b/internal/netio/loop.go
@@ -0,0 +1,84 @@
+// Package netio holds the drivers: they read and write sockets and set timers for the state machines, and decide
+// nothing. Everything but the blocking reads, writes and dials runs on one goroutine, the loop.
+package netio
+
+import (
+	"context"
+	"time"
+)
+
+// Loop runs what is handed to it, one after the other.
+type Loop struct {
+	work  chan func()
+	done  chan struct{}
+	start time.Time
+	base  time.Duration
+}
+
+// NewLoop makes a Loop. Its clock is the Unix clock at its start, advanced by the steady one: it never goes back.
+func NewLoop(start time.Time) *Loop {
+	return &Loop{work: make(chan func(), 1024), done: make(chan struct{}), start: start,
+		base: time.Duration(start.UnixNano())}
+}
+
+// Now is the time since the Unix epoch.
+func (l *Loop) Now() time.Duration { return l.base + time.Since(l.start) }
+
+// Run works until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	for {
+		select {
+		case f := <-l.work:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Post hands work over; it must not be called from the loop itself.
+func (l *Loop) Post(f func()) {
+	select {
+	case l.work <- f:
+	case <-l.done:
+	}
+}
+
+// Do hands work over and waits until it is done.
+func (l *Loop) Do(f func()) {
+	done := make(chan struct{})
+	l.Post(func() { defer close(done); f() })
+	select {
+	case <-done:
+	case <-l.done:
+	}
+}
+
+// After runs f on the loop when the time has passed. The returned timer's Stop is to be called on the loop.
+func (l *Loop) After(d time.Duration, f func()) *Timer {
+	t := &Timer{}
+	t.timer = time.AfterFunc(d, func() {
+		l.Post(func() {
+			if !t.stopped {
+				t.stopped = true
+				f()
+			}
+		})
+	})
+	return t
+}
+
+// Timer is one wait; one that has been stopped never runs, even if it had already gone off.
+type Timer struct {
+	timer   *time.Timer
+	stopped bool
+}
+
+// Stop ends the wait.
+func (t *Timer) Stop() {
+	if t != nil {
+		t.stopped = true
+		t.timer.Stop()
+	}
+}
--- a/cmd/benchlink/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package main
+// Package settings reads the settings object that an instance is given, the same on the simulator's wire and
+// in a real workload manager's configuration.
+package settings
 
 import (
 	"encoding/json"
@@ -6,7 +8,7 @@
 	"slices"
 	"time"
 
-	"spoollink/policy"
+	"frostpier/policy"
 )
 
 // setup is the part of the first message that the module has a use for; keys not named here are ignored.
@@ -44,12 +46,15 @@
 	MembershipMode string   `json:"membership_mode"`
 	Models         []string `json:"models"`
 	Permissions    struct {
-		AttemptsCap   int           `json:"attempts_cap"`
-		Cancel        bool          `json:"cancel"`
-		MaxRetryAfter time.Duration `json:"max_retry_after"`
-		ParallelTries bool          `json:"parallel_tries"`
-		Probes        bool          `json:"probes"`
-		RetryAfter    bool          `json:"retry_after"`
+		AttemptsCap    int           `json:"attempts_cap"`
+		ConnIdle       time.Duration `json:"conn_idle"`
+		ConnectTimeout time.Duration `json:"connect_timeout"`
+		MaxOpen        int           `json:"max_open"`
+		Cancel         bool          `json:"cancel"`
+		MaxRetryAfter  time.Duration `json:"max_retry_after"`
+		ParallelTries  bool          `json:"parallel_tries"`
+		Probes         bool          `json:"probes"`
+		RetryAfter     bool          `json:"retry_after"`
 	} `json:"permissions"`
 	Report struct {
 		Fields []string `json:"fields"`
@@ -87,12 +92,17 @@
 	"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell,
 }
 
-// parseSettings reads the first message of an instance.
-func parseSettings(text []byte) (policy.Settings, error) {
+// Parse reads the first message of an instance.
+func Parse(text []byte) (policy.Settings, error) {
 	var s setup
 	if err := json.Unmarshal(text, &s); err != nil {
 		return policy.Settings{}, err
 	}
+	return s.forModule()
+}
+
+// forModule turns the object into what the module is told.
+func (s *setup) forModule() (policy.Settings, error) {
 	out := policy.Settings{
 		Zones: len(s.Zones), Zone: s.Zone, Siblings: s.Siblings, Number: s.SelfIndex, Tick: s.Tick,
 		AskForList: s.MembershipMode == "on_request", GrantCap: s.Family.GrantCap,
@@ -162,3 +172,35 @@
 	}
 	return out
 }
+
+// Host is what a real workload manager is told beyond the module's settings.
+type Host struct {
+	Module         policy.Settings
+	ConnIdle       time.Duration // engines close connections left idle this long
+	ConnectTimeout time.Duration
+	MaxOpen        int           // requests open at once
+	ComeBack       time.Duration // the longest wait that a refusal may name
+	Models         []string
+	Zones          []string
+	ReportFields   []string
+}
+
+// ParseHost reads the same object for a real workload manager.
+func ParseHost(text []byte) (Host, error) {
+	var s setup
+	if err := json.Unmarshal(text, &s); err != nil {
+		return Host{}, fmt.Errorf("settings: %w", err)
+	}
+	module, err := s.forModule()
+	if err != nil {
+		return Host{}, fmt.Errorf("settings: %w", err)
+	}
+	p := s.Permissions
+	return Host{
+		Module: module, ConnIdle: p.ConnIdle, ConnectTimeout: p.ConnectTimeout, MaxOpen: p.MaxOpen,
+		ComeBack: p.MaxRetryAfter, Models: s.Models, Zones: s.Zones, ReportFields: s.Report.Fields,
+	}, nil
+}
+
+// FigureOf tells which figure a report's field is; Unknown for one that the module has no use for.
+func FigureOf(field string) policy.Figure { return figures[field] }
--- a/policy/api.go
+++ b/policy/api.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -255,6 +256,9 @@
 // TimerFired is a timer that came due.
 type TimerFired struct{ Token uint64 }
 
+// Closing says that the host goes down: whatever is still open is to be answered now.
+type Closing struct{}
+
 func (EngineList) event()    {}
 func (Arrival) event()       {}
 func (ClientLeft) event()    {}
@@ -263,6 +267,7 @@
 func (ProbeEnded) event()    {}
 func (Progress) event()      {}
 func (TimerFired) event()    {}
+func (Closing) event()       {}
 
 // Action is something the host is to do.
 type Action interface{ action() }
@@ -365,6 +370,10 @@
 		g.ended(e)
 	case ProbeEnded:
 		g.probed(e)
+	case Closing:
+		for _, r := range slices.Clone(g.open) {
+			g.answer(r)
+		}
 	case TimerFired:
 		if e.Token == beatToken {
 			g.beat()
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"spoollink/policy"
+	"frostpier/policy"
 )
 
 // A host drives a Gateway by hand: it tells of an engine, takes a request and reports how the attempt ended.
