Add the MySQL front, its engine side, VRRP and the operator's file; off by default

One core, two fronts: attempts of both run on the same steps (internal/attempt) and driver (internal/netio/flight.go). The platform's path is unchanged but for that.

--- /dev/null
+++ b/cmd/frostpier/operator.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"strconv"
+	"time"
+
+	"frostpier/internal/core"
+	"frostpier/internal/mysql"
+	"frostpier/internal/netio"
+	"frostpier/internal/settings"
+	"frostpier/internal/vrrp"
+)
+
+// readOperator reads the operator's file that FROSTPIER_OPERATOR names; where it names none, all in it is off.
+func readOperator() (settings.Operator, error) {
+	path := os.Getenv("FROSTPIER_OPERATOR")
+	if path == "" {
+		return settings.Operator{}, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings.Operator{}, fmt.Errorf("FROSTPIER_OPERATOR: %w", err)
+	}
+	return settings.ParseOperator(text)
+}
+
+// mysqlSetup checks the file's accounts against the classes that there are.
+func mysqlSetup(m *settings.MySQL, c *core.Core, most int) (netio.MySQLSetup, error) {
+	out := netio.MySQLSetup{Listen: m.Listen, MostOpen: most, User: m.EngineUser, Password: m.EnginePassword,
+		EnginePort: strconv.Itoa(m.EnginePort), Engines: m.Engines, Accounts: map[string]*mysql.Account{}}
+	if m.MostClients > 0 {
+		out.MostOpen = min(most, m.MostClients)
+	}
+	for _, a := range m.Accounts {
+		class, known := c.Class(a.Class)
+		hash, err := mysql.ParseHash(a.PasswordHash)
+		switch {
+		case !known:
+			return out, fmt.Errorf("account %q: no class %q", a.User, a.Class)
+		case err != nil:
+			return out, fmt.Errorf("account %q: %w", a.User, err)
+		case a.BudgetMS <= 0:
+			return out, fmt.Errorf("account %q: a budget of %d ms", a.User, a.BudgetMS)
+		case out.Accounts[a.User] != nil:
+			return out, fmt.Errorf("account %q stands twice", a.User)
+		}
+		out.Accounts[a.User] = &mysql.Account{User: a.User, Hash: hash, Class: class, Keyed: c.Keyed(class),
+			Budget: time.Duration(a.BudgetMS) * time.Millisecond}
+	}
+	return out, nil
+}
+
+// standby makes the virtual router whose master owns the front's listener.
+func standby(v *settings.VRRP, loop *netio.Loop, log *slog.Logger, front *netio.MySQLFront) (*netio.Standby, error) {
+	router, err := vrrp.New(vrrp.Config{VRID: v.ID, Priority: v.Priority, Interval: v.Interval(), Preempt: v.Preempt,
+		Self: v.Listen.Addr(), Addrs: v.Addresses})
+	if err != nil {
+		return nil, err
+	}
+	return netio.NewStandby(loop, log, router, v.Listen, v.Peers, func(s vrrp.State) {
+		if s != vrrp.Master {
+			front.Hush()
+			return
+		}
+		own(log, front)
+	})
+}
+
+// listenAgain is the pause before another try to listen: the former master may still hold the address.
+const listenAgain = 100 * time.Millisecond
+
+func own(log *slog.Logger, front *netio.MySQLFront) {
+	if err := front.Listen(); err != nil {
+		log.Error("mysql front cannot listen", "error", err)
+		front.Retry(listenAgain, func() { own(log, front) })
+	}
+}
--- a/cmd/frostpier/run.go
+++ b/cmd/frostpier/run.go
@@ -44,6 +44,10 @@
 	if err != nil {
 		return err
 	}
+	operator, err := readOperator()
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(conf.Limits.Cores)))
 	debug.SetMemoryLimit(conf.Limits.MemoryMB << 20 * 6 / 10)
 	debug.SetGCPercent(gcPercent)
@@ -54,15 +58,30 @@
 	if err != nil {
 		return err
 	}
-	pool := netio.NewPool(loop, log, host.ConnectTimeout, host.ConnIdle, conf.Limits.Sockets/2)
+	shares := divide(conf.Limits.Sockets, operator.MySQL != nil)
+	pool := netio.NewPool(loop, log, host.ConnectTimeout, host.ConnIdle, shares.engines)
 	gateway := netio.NewGateway(loop, heart, pool, log)
 	stream := &bulletin.Stream{}
 	known, err := stream.Known(conf.Known)
 	if err != nil {
 		log.Warn("known events not all used", "error", err)
 	}
-	clients := netio.NewClients(gateway, log, conf.Limits.Sockets*2/5)
+	clients := netio.NewClients(gateway, log, shares.clients)
 	p := &program{loop: loop, gateway: gateway, clients: clients, keep: keep, log: log}
+	if m := operator.MySQL; m != nil {
+		setup, err := mysqlSetup(m, heart, shares.mysqlClients)
+		if err != nil {
+			return err
+		}
+		engines := netio.NewPool(loop, log, host.ConnectTimeout, host.ConnIdle, shares.mysqlEngines)
+		gateway.Pools = append(gateway.Pools, engines)
+		p.mysql = netio.NewMySQLFront(gateway, engines, log, setup)
+	}
+	if v := operator.VRRP; v != nil {
+		if p.standby, err = standby(v, loop, log, p.mysql); err != nil {
+			return err
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p.cancel = cancel
@@ -79,6 +98,9 @@
 	if err := clients.Serve(conf.Listen); err != nil {
 		return err
 	}
+	if err := p.startMySQL(); err != nil {
+		return err
+	}
 	log.Info("serving", "name", conf.Name, "listen", conf.Listen, "bulletin", conf.Bulletin, "events", len(known))
 	select {
 	case <-term.Done():
@@ -95,18 +117,49 @@
 	loop    *netio.Loop
 	gateway *netio.Gateway
 	clients *netio.Clients
+	mysql   *netio.MySQLFront // nil where it is off
+	standby *netio.Standby    // likewise
 	keep    *invariant.Keeper
 	log     *slog.Logger
 	cancel  func()
 }
 
+// shares divides the descriptors; what is left over is for listeners, the bulletin and the like.
+type shares struct{ clients, engines, mysqlClients, mysqlEngines int }
+
+func divide(sockets int, withMySQL bool) shares {
+	if withMySQL {
+		return shares{clients: sockets / 5, engines: sockets / 4, mysqlClients: sockets / 5, mysqlEngines: sockets / 4}
+	}
+	return shares{clients: sockets * 2 / 5, engines: sockets / 2}
+}
+
+// startMySQL opens the MySQL front: at once, or where there is a virtual router when that is master.
+func (p *program) startMySQL() (err error) {
+	p.loop.Do(func() {
+		switch {
+		case p.standby != nil:
+			p.standby.Start()
+		case p.mysql != nil:
+			err = p.mysql.Listen()
+		}
+	})
+	return err
+}
+
 // drain is the planned stop: ping tells at once, connections and requests are still taken for the stated time,
 // and all that was taken is answered before the end.
 func (p *program) drain() {
 	p.log.Info("stopping", "open", p.gateway.Core.Open(), "out", p.gateway.Core.Out())
 	p.clients.Drain()
+	if p.standby != nil {
+		p.standby.Stop() // the next master takes the address over while this one answers what it has taken
+	}
 	p.loop.After(acceptFor, func() {
 		p.clients.Stop()
+		if p.mysql != nil {
+			p.mysql.Hush()
+		}
 		p.gateway.WhenIdle(p.end)
 	})
 	p.loop.After(answerWait, p.gateway.Close)
@@ -115,6 +168,9 @@
 
 func (p *program) end() {
 	p.clients.Finish()
+	if p.mysql != nil {
+		p.mysql.Finish()
+	}
 	p.loop.After(flushWait, p.cancel)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,9 +23,12 @@
 	Served Verdict = iota
 	Refused
 	Failed
-	Late // failed, and the client's time is over
+	Broken // failed after a part of the answer went out
 )
 
+// lateTicks before its client's end a request counts as answered at its deadline: the module looks every few ticks.
+const lateTicks = 10
+
 // Action is something that the host is to do.
 type Action interface{ action() }
 
@@ -48,6 +51,7 @@
 	ID       ID
 	Verdict  Verdict
 	ComeBack time.Duration // of a refusal
+	Late     bool          // the client's time is over
 }
 
 // Timer asks for a Due with this token.
@@ -83,6 +87,7 @@
 	attempts []*attempt
 	out      int
 	replied  bool
+	begun    bool // a part of the answer went out: there is no other attempt
 }
 
 type attempt struct {
@@ -155,7 +160,7 @@
 	c.counts.Taken++
 	if c.host.MaxOpen > 0 && c.open > c.host.MaxOpen { // more than the settings let one gateway hold
 		c.actions = nil
-		c.reply(id, Refused, c.host.ComeBack)
+		c.reply(now, id, Refused, c.host.ComeBack)
 		return id, c.actions
 	}
 	return id, c.tell(now, policy.Arrival{ID: id, Class: a.Class, Key: a.Key, TableGroup: a.TableGroup, Cost: a.Cost,
@@ -172,6 +177,13 @@
 	c.open--
 	c.counts.Left++
 	actions := c.tell(now, policy.ClientLeft{ID: id})
+	if r.begun { // the module calls off no answer that has begun, but here nobody reads it any more
+		for n, a := range r.attempts {
+			if !a.over {
+				actions = append(actions, Stop{ID: id, Attempt: n})
+			}
+		}
+	}
 	c.forget(id, r)
 	return actions
 }
@@ -212,10 +224,13 @@
 		c.log.Debug("attempt ended", "request", id, "attempt", n, "outcome", outcome, "took", now-a.started)
 	}
 	end := policy.AttemptEnded{ID: id, Attempt: n, Engine: a.engine, Outcome: outcome, Took: now - a.started,
-		Terminal: r.replied || outcome == policy.OK, Report: c.report(fields)}
+		Terminal: r.replied || r.begun || outcome == policy.OK, Report: c.report(fields)}
 	c.actions = nil
-	if outcome == policy.OK && !r.replied {
-		c.reply(id, Served, 0)
+	switch {
+	case outcome == policy.OK && !r.replied:
+		c.reply(now, id, Served, 0)
+	case r.begun && !r.replied:
+		c.reply(now, id, Broken, 0)
 	}
 	answered := c.actions
 	actions := append(answered, c.tell(now, end)...)
@@ -223,6 +238,20 @@
 	return actions
 }
 
+// Began says that a part of an attempt's answer goes out to the client. From then on there is no other attempt, and
+// no time-out of the request; it tells whether the client still wants it.
+func (c *Core) Began(now time.Duration, id ID, n int) (bool, []Action) {
+	r := c.requests[id]
+	if r == nil || r.replied || n >= len(r.attempts) || r.attempts[n].over {
+		return false, nil
+	}
+	if r.begun {
+		return true, nil
+	}
+	r.begun = true
+	return true, c.tell(now, policy.AnswerStarted{ID: id, Attempt: n})
+}
+
 // Progress passes on an engine's word of how far an attempt is.
 func (c *Core) Progress(now time.Duration, id ID, n int, done float64) []Action {
 	return c.tell(now, policy.Progress{ID: id, Attempt: n, Done: done})
@@ -256,13 +285,9 @@
 		if back == 0 {
 			back = c.host.ComeBack
 		}
-		c.reply(a.ID, Refused, back)
+		c.reply(now, a.ID, Refused, back)
 	case policy.Fail:
-		verdict := Failed
-		if r := c.requests[a.ID]; r != nil && r.end-now <= 10*c.host.Module.Tick {
-			verdict = Late
-		}
-		c.reply(a.ID, verdict, 0)
+		c.reply(now, a.ID, Failed, 0)
 	case policy.SetTimer:
 		c.actions = append(c.actions, Timer{After: a.After, Token: a.Token})
 	case policy.Log:
@@ -288,7 +313,7 @@
 }
 
 // reply gives the final answer, once.
-func (c *Core) reply(id ID, v Verdict, back time.Duration) {
+func (c *Core) reply(now time.Duration, id ID, v Verdict, back time.Duration) {
 	r := c.requests[id]
 	if !c.keep.Holds(r != nil && !r.replied, "a request is answered once", "request", id) {
 		return
@@ -303,7 +328,8 @@
 	default:
 		c.counts.Failed++
 	}
-	c.actions = append(c.actions, Reply{ID: id, Verdict: v, ComeBack: min(back, c.host.ComeBack)})
+	c.actions = append(c.actions, Reply{ID: id, Verdict: v, ComeBack: min(back, c.host.ComeBack),
+		Late: r.end-now <= lateTicks*c.host.Module.Tick})
 	c.forget(id, r)
 }
 
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -27,6 +27,12 @@
 	return first
 }
 
+// SchemaGroup is the group of tables that a schema's name tells; 0 if none.
+func SchemaGroup(schema string) int {
+	n, _ := number(schema)
+	return n
+}
+
 func tableWord(word string) bool {
 	switch strings.ToUpper(word) {
 	case "FROM", "JOIN", "INTO", "UPDATE", "TABLE":
--- a/internal/httpq/query.go
+++ b/internal/httpq/query.go
@@ -7,29 +7,10 @@
 	"strings"
 	"time"
 
+	"frostpier/internal/attempt"
 	"frostpier/policy"
 )
 
-// Lane is one of the two connections that a query may use: a call that must not queue behind a poll has its own.
-type Lane uint8
-
-// The lanes.
-const (
-	Main Lane = iota // the POST, polls and pages
-	Side             // the DELETE
-)
-
-// Alarm is a wait of a query.
-type Alarm uint8
-
-// The alarms.
-const (
-	Silence Alarm = iota // no answer to a call for longer than any poll takes
-	Lost                 // the engine was not asked for so long that it has given the query up by itself
-	Again                // pause before a further try to reach the engine
-	alarms
-)
-
 // Times that follow from the engines' protocol: a poll is answered after 250 ms, and a query that was not asked
 // for in 2 s ends by itself.
 const (
@@ -44,47 +25,6 @@
 	pageTries  = 2
 )
 
-// Step is something that the driver is to do for a query.
-type Step interface{ step() }
-
-type (
-	// Open asks for a connection: an idle one or, if Fresh, a new one.
-	Open struct {
-		Lane  Lane
-		Fresh bool
-	}
-	// Write sends bytes.
-	Write struct {
-		Lane  Lane
-		Bytes []byte
-	}
-	// Release gives a connection back for other queries, Drop closes it.
-	Release struct{ Lane Lane }
-	// Drop closes a connection, or ends the wait for one.
-	Drop struct{ Lane Lane }
-	// Set starts an alarm anew; 0 stops it.
-	Set struct {
-		Alarm Alarm
-		After time.Duration
-	}
-	// News is a note on a running query: the share done.
-	News struct{ Done float64 }
-	// End is the one end of the attempt: it is not out any more.
-	End struct {
-		Outcome policy.Outcome
-		Result  []byte
-		Report  string // the load report as it came
-	}
-)
-
-func (Open) step()    {}
-func (Write) step()   {}
-func (Release) step() {}
-func (Drop) step()    {}
-func (Set) step()     {}
-func (News) step()    {}
-func (End) step()     {}
-
 type state uint8
 
 const (
@@ -116,18 +56,18 @@
 	tries   int // of the present page
 	report  string
 	deletes int
-	steps   []Step
+	steps   []attempt.Step
 }
 
 // NewQuery makes a query and its first steps.
-func NewQuery(req Request) (*Query, []Step) {
+func NewQuery(req Request) (*Query, []attempt.Step) {
 	q := &Query{req: req}
-	return q, q.flush(Open{Lane: Main})
+	return q, q.flush(attempt.Open{Lane: attempt.Main})
 }
 
-func (q *Query) do(s ...Step) { q.steps = append(q.steps, s...) }
+func (q *Query) do(s ...attempt.Step) { q.steps = append(q.steps, s...) }
 
-func (q *Query) flush(s ...Step) []Step {
+func (q *Query) flush(s ...attempt.Step) []attempt.Step {
 	q.do(s...)
 	out := q.steps
 	q.steps = nil
@@ -136,37 +76,37 @@
 
 // Opened says that a lane has its connection. leave tells, before the first byte, whether the attempt may still go
 // out, and how long it may take.
-func (q *Query) Opened(lane Lane, leave func() (time.Duration, bool)) []Step {
+func (q *Query) Opened(lane attempt.Lane, _ *any, leave attempt.Leave) []attempt.Step {
 	if q.state == ended {
-		return q.flush(Release{lane})
+		return q.flush(attempt.Release{Lane: lane})
 	}
 	q.up[lane], q.read[lane] = true, Reader{}
 	switch {
-	case lane == Side:
-		q.write(Side, q.call("DELETE", ""))
+	case lane == attempt.Side:
+		q.write(attempt.Side, q.call("DELETE", ""))
 	case q.state == opening:
 		left, ok := leave()
 		if !ok {
-			q.do(Release{Main})
-			q.up[Main] = false
+			q.do(attempt.Release{Lane: attempt.Main})
+			q.up[attempt.Main] = false
 			q.end(policy.Moot)
 			break
 		}
 		q.state = running
-		q.write(Main, q.post(left))
+		q.write(attempt.Main, q.post(left))
 	case q.state == running:
-		q.write(Main, q.call("GET", "/0"))
+		q.write(attempt.Main, q.call("GET", "/0"))
 	case q.state == paging:
-		q.write(Main, q.call("GET", "/"+strconv.Itoa(len(q.pages))))
+		q.write(attempt.Main, q.call("GET", "/"+strconv.Itoa(len(q.pages))))
 	default:
-		q.do(Release{Main})
-		q.up[Main] = false
+		q.do(attempt.Release{Lane: attempt.Main})
+		q.up[attempt.Main] = false
 	}
 	return q.flush()
 }
 
 // Failed says that a lane got no connection.
-func (q *Query) Failed(lane Lane) []Step {
+func (q *Query) Failed(lane attempt.Lane) []attempt.Step {
 	switch {
 	case q.state == opening:
 		q.end(policy.NoConnection)
@@ -174,13 +114,13 @@
 		q.pageLost()
 	case q.state == running || q.state == closing:
 		// No proof that the query is over: an engine whose table of connections is full refuses too.
-		q.do(Set{Again, againWait})
+		q.do(attempt.Set{Alarm: attempt.Again, After: againWait})
 	}
 	return q.flush()
 }
 
 // Broke says that a lane's connection ended.
-func (q *Query) Broke(lane Lane) []Step {
+func (q *Query) Broke(lane attempt.Lane) []attempt.Step {
 	if !q.up[lane] {
 		return nil
 	}
@@ -189,19 +129,19 @@
 	return q.flush()
 }
 
-func (q *Query) broken(lane Lane) {
+func (q *Query) broken(lane attempt.Lane) {
 	switch {
-	case q.state == running && lane == Main:
-		q.do(Set{Silence, 0}, Open{Lane: Main, Fresh: true}) // the query is tied to no connection: ask for it anew
+	case q.state == running && lane == attempt.Main:
+		q.do(attempt.Set{Alarm: attempt.Silence, After: 0}, attempt.Open{Lane: attempt.Main, Fresh: true}) // the query is tied to no connection: ask for it anew
 	case q.state == paging:
 		q.pageLost()
-	case q.state == closing && lane == Side:
-		q.do(Set{Again, againWait})
+	case q.state == closing && lane == attempt.Side:
+		q.do(attempt.Set{Alarm: attempt.Again, After: againWait})
 	}
 }
 
 // Fed takes bytes of a lane.
-func (q *Query) Fed(lane Lane, b []byte) []Step {
+func (q *Query) Fed(lane attempt.Lane, b []byte) []attempt.Step {
 	if !q.up[lane] {
 		return nil
 	}
@@ -211,7 +151,7 @@
 		if res.Close || err != nil {
 			q.drop(lane)
 		}
-		if lane == Side {
+		if lane == attempt.Side {
 			q.deleted(res)
 		} else {
 			q.answered(res)
@@ -226,33 +166,33 @@
 }
 
 // Rang says that an alarm went off.
-func (q *Query) Rang(a Alarm) []Step {
+func (q *Query) Rang(a attempt.Alarm) []attempt.Step {
 	switch {
 	case q.state == ended:
-	case a == Lost && (q.state == running || q.state == closing):
+	case a == attempt.Lost && (q.state == running || q.state == closing):
 		if q.state == running {
 			q.final = policy.Reset
 		}
 		q.end(q.final)
-	case a == Silence && q.state == running:
-		q.drop(Main)
-		q.do(Open{Lane: Main, Fresh: true})
-	case a == Silence && q.state == paging:
-		q.drop(Main)
+	case a == attempt.Silence && q.state == running:
+		q.drop(attempt.Main)
+		q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
+	case a == attempt.Silence && q.state == paging:
+		q.drop(attempt.Main)
 		q.pageLost()
-	case a == Again && q.state == running && !q.up[Main]:
-		q.do(Open{Lane: Main, Fresh: true})
-	case a == Again && q.state == closing && !q.asked[Side]:
+	case a == attempt.Again && q.state == running && !q.up[attempt.Main]:
+		q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
+	case a == attempt.Again && q.state == closing && !q.asked[attempt.Side]:
 		q.askDelete()
 	}
 	return q.flush()
 }
 
 // GiveUp calls the attempt off; outcome is what it ends with once the engine has confirmed.
-func (q *Query) GiveUp(outcome policy.Outcome) []Step {
+func (q *Query) GiveUp(outcome policy.Outcome) []attempt.Step {
 	switch q.state {
 	case opening: // nothing was written
-		q.do(Drop{Main})
+		q.do(attempt.Drop{Lane: attempt.Main})
 		q.end(policy.Moot)
 	case running:
 		q.giveUp(outcome)
@@ -264,26 +204,26 @@
 
 func (q *Query) giveUp(outcome policy.Outcome) {
 	q.state, q.final = closing, outcome
-	q.do(Set{Silence, 0})
-	if !q.up[Main] {
-		q.do(Drop{Main}) // a reconnect under way is not wanted any more
+	q.do(attempt.Set{Alarm: attempt.Silence, After: 0})
+	if !q.up[attempt.Main] {
+		q.do(attempt.Drop{Lane: attempt.Main}) // a reconnect under way is not wanted any more
 	}
 	q.askDelete()
 }
 
 func (q *Query) askDelete() {
-	if q.up[Side] {
-		q.write(Side, q.call("DELETE", ""))
+	if q.up[attempt.Side] {
+		q.write(attempt.Side, q.call("DELETE", ""))
 		return
 	}
-	q.do(Open{Lane: Side, Fresh: q.deletes > 0})
+	q.do(attempt.Open{Lane: attempt.Side, Fresh: q.deletes > 0})
 	q.deletes++
 }
 
 // answered takes a response of the main lane.
 func (q *Query) answered(res *Response) {
 	q.calls++
-	q.do(Set{Silence, 0})
+	q.do(attempt.Set{Alarm: attempt.Silence, After: 0})
 	if q.state == paging {
 		q.page(res)
 		return
@@ -296,13 +236,13 @@
 	case res.Status == 202:
 		q.note(res)
 		if q.state == closing { // no further poll: the engine gives it up by itself, if the DELETE fails
-			q.do(Set{Lost, unasked + slack})
+			q.do(attempt.Set{Alarm: attempt.Lost, After: unasked + slack})
 			return
 		}
-		if q.up[Main] {
-			q.write(Main, q.call("GET", "/0"))
+		if q.up[attempt.Main] {
+			q.write(attempt.Main, q.call("GET", "/0"))
 		} else {
-			q.do(Open{Lane: Main})
+			q.do(attempt.Open{Lane: attempt.Main})
 		}
 	case res.Status == 200:
 		q.firstPage(res)
@@ -313,15 +253,15 @@
 	case res.Status == 500:
 		q.end(policy.Error)
 	default:
-		q.malformed(Main)
+		q.malformed(attempt.Main)
 	}
 }
 
 // malformed: an answer that cannot be read proves no end. The query is called off, and counts as failed.
-func (q *Query) malformed(lane Lane) {
+func (q *Query) malformed(lane attempt.Lane) {
 	switch {
-	case lane == Side:
-		q.do(Set{Again, againWait})
+	case lane == attempt.Side:
+		q.do(attempt.Set{Alarm: attempt.Again, After: againWait})
 	case q.state == running:
 		q.giveUp(policy.Error)
 	case q.state == paging:
@@ -334,17 +274,17 @@
 		return
 	}
 	if done, err := strconv.ParseFloat(res.Head.Get("Figure"), 64); err == nil && done >= 0 && done <= 1 {
-		q.do(News{done})
+		q.do(attempt.News{Done: done})
 	}
 }
 
 func (q *Query) firstPage(res *Response) {
 	total, err := strconv.Atoi(res.Head.Get("Page-Count"))
 	if err != nil || total < 1 || total > maxPages {
-		q.malformed(Main)
+		q.malformed(attempt.Main)
 		return
 	}
-	q.do(Set{Lost, 0})
+	q.do(attempt.Set{Alarm: attempt.Lost, After: 0})
 	if q.state == closing && total > 1 { // the DELETE takes its pages away
 		q.end(q.final)
 		return
@@ -371,10 +311,10 @@
 		q.end(policy.Error)
 	case len(q.pages) == q.total:
 		q.end(policy.OK)
-	case q.up[Main]:
-		q.write(Main, q.call("GET", "/"+strconv.Itoa(len(q.pages))))
+	case q.up[attempt.Main]:
+		q.write(attempt.Main, q.call("GET", "/"+strconv.Itoa(len(q.pages))))
 	default:
-		q.do(Open{Lane: Main})
+		q.do(attempt.Open{Lane: attempt.Main})
 	}
 }
 
@@ -384,7 +324,7 @@
 		q.end(policy.Error)
 		return
 	}
-	q.do(Open{Lane: Main, Fresh: true})
+	q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
 }
 
 // deleted takes the response to a DELETE: 204 confirms, anything else does not.
@@ -393,43 +333,43 @@
 		q.end(q.final)
 		return
 	}
-	q.do(Set{Again, againWait})
+	q.do(attempt.Set{Alarm: attempt.Again, After: againWait})
 }
 
-func (q *Query) write(lane Lane, b []byte) {
+func (q *Query) write(lane attempt.Lane, b []byte) {
 	q.asked[lane] = true
-	q.do(Write{lane, b})
-	if lane == Main && q.state != closing {
-		q.do(Set{Silence, silentWait})
+	q.do(attempt.Write{Lane: lane, Bytes: b})
+	if lane == attempt.Main && q.state != closing {
+		q.do(attempt.Set{Alarm: attempt.Silence, After: silentWait})
 	}
-	if lane == Main && q.state == running {
-		q.do(Set{Lost, lostWait})
+	if lane == attempt.Main && q.state == running {
+		q.do(attempt.Set{Alarm: attempt.Lost, After: lostWait})
 	}
 }
 
-func (q *Query) drop(lane Lane) {
+func (q *Query) drop(lane attempt.Lane) {
 	if q.up[lane] {
 		q.up[lane], q.asked[lane] = false, false
-		q.do(Drop{lane})
+		q.do(attempt.Drop{Lane: lane})
 	}
 }
 
 // end is the single end of an attempt; connections with no call on them serve others.
 func (q *Query) end(outcome policy.Outcome) {
 	q.state = ended
-	for a := range alarms {
-		q.do(Set{a, 0})
+	for a := range attempt.Alarms {
+		q.do(attempt.Set{Alarm: a, After: 0})
 	}
-	for _, lane := range []Lane{Main, Side} {
+	for _, lane := range []attempt.Lane{attempt.Main, attempt.Side} {
 		switch {
 		case q.up[lane] && !q.asked[lane] && q.read[lane].Idle():
-			q.do(Release{lane})
+			q.do(attempt.Release{Lane: lane})
 		default:
-			q.do(Drop{lane})
+			q.do(attempt.Drop{Lane: lane})
 		}
 		q.up[lane] = false
 	}
-	e := End{Outcome: outcome, Report: q.report}
+	e := attempt.End{Outcome: outcome, Report: q.report}
 	if outcome == policy.OK {
 		e.Result = bytes.Join(q.pages, nil)
 	}
--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -183,8 +183,10 @@
 
 // Attempt sends the query to an engine.
 func (r *request) Attempt(a core.Start) Attempt {
-	return startQuery(r.client.front.gateway, a, httpq.Request{Host: a.Engine.Addr, ID: r.call.RID,
+	machine, steps := httpq.NewQuery(httpq.Request{Host: a.Engine.Addr, ID: r.call.RID,
 		Class: r.client.front.gateway.Core.ClassName(r.call.Class), Key: r.call.Token, Statement: r.call.Statement})
+	g := r.client.front.gateway
+	return fly(g, g.Pool, a, a.Engine.Addr, machine, steps, func([]byte) {})
 }
 
 // Answer writes the one answer of the call.
@@ -198,10 +200,12 @@
 		c.conn.Write(jsonrpc.Result(r.call.ID, body))
 	case core.Refused:
 		c.conn.Write(jsonrpc.Refused(r.call.ID, reply.ComeBack))
-	case core.Late:
-		c.conn.Write(jsonrpc.Failed(r.call.ID, "no answer in time"))
 	default:
-		c.conn.Write(jsonrpc.Failed(r.call.ID, "the query failed"))
+		why := "the query failed"
+		if reply.Late {
+			why = "no answer in time"
+		}
+		c.conn.Write(jsonrpc.Failed(r.call.ID, why))
 	}
 	c.rest()
 }
--- /dev/null
+++ b/internal/netio/flight.go
@@ -0,0 +1,155 @@
+package netio
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"frostpier/internal/attempt"
+	"frostpier/internal/core"
+	"frostpier/policy"
+)
+
+// flight drives one attempt, whatever its engine speaks.
+type flight struct {
+	gateway *Gateway
+	pool    *Pool
+	start   core.Start
+	addr    string
+	machine attempt.Machine
+	relay   func([]byte)
+	lanes   [2]*lane
+	alarms  map[attempt.Alarm]*Timer
+}
+
+// lane is one of its connections, or the wait for one.
+type lane struct {
+	flight *flight
+	lane   attempt.Lane
+	link   *Link
+	stop   func()
+	gone   bool
+}
+
+// fly starts an attempt that the machine carries; relay takes what goes out before the end.
+func fly(g *Gateway, pool *Pool, start core.Start, addr string, machine attempt.Machine, steps []attempt.Step,
+	relay func([]byte)) *flight {
+	f := &flight{gateway: g, pool: pool, start: start, addr: addr, machine: machine, relay: relay,
+		alarms: map[attempt.Alarm]*Timer{}}
+	f.carryOut(steps)
+	return f
+}
+
+// Pause stops reading the answer until Resume.
+func (f *flight) Pause() { f.reading((*Conn).Pause) }
+
+// Resume goes on reading it.
+func (f *flight) Resume() { f.reading((*Conn).Resume) }
+
+func (f *flight) reading(do func(*Conn)) {
+	if l := f.lanes[attempt.Main]; l != nil && l.link != nil {
+		do(l.link.Conn)
+	}
+}
+
+// GiveUp calls the attempt off.
+func (f *flight) GiveUp(outcome policy.Outcome) {
+	f.Resume()
+	f.carryOut(f.machine.GiveUp(outcome))
+}
+
+func (f *flight) carryOut(steps []attempt.Step) {
+	for _, step := range steps {
+		switch s := step.(type) {
+		case attempt.Open:
+			f.open(s)
+		case attempt.Write:
+			if l := f.lanes[s.Lane]; l != nil && l.link != nil {
+				l.link.Write(s.Bytes)
+			}
+		case attempt.Release:
+			f.leave(s.Lane, true)
+		case attempt.Drop:
+			f.leave(s.Lane, false)
+		case attempt.Set:
+			f.alarms[s.Alarm].Stop()
+			delete(f.alarms, s.Alarm)
+			if s.After > 0 {
+				f.alarms[s.Alarm] = f.gateway.Loop.After(s.After, func() { f.carryOut(f.machine.Rang(s.Alarm)) })
+			}
+		case attempt.News:
+			f.gateway.Progress(f.start.ID, f.start.Attempt, s.Done)
+		case attempt.Relay:
+			if f.gateway.Began(f.start.ID, f.start.Attempt) {
+				f.relay(s.Bytes)
+			}
+		case attempt.End:
+			f.gateway.Ended(f.start.ID, f.start.Attempt, s.Outcome, fields(s.Report), s.Result)
+		}
+	}
+}
+
+func (f *flight) open(s attempt.Open) {
+	f.leave(s.Lane, false)
+	l := &lane{flight: f, lane: s.Lane}
+	f.lanes[s.Lane] = l
+	e := f.start.Engine
+	l.stop = f.pool.Get(e.ID, f.addr, s.Fresh, l, func(link *Link, err error) {
+		l.stop = nil
+		if err != nil {
+			f.carryOut(f.machine.Failed(l.lane))
+			return
+		}
+		l.link = link
+		f.carryOut(f.machine.Opened(l.lane, &link.Memory, func() (time.Duration, bool) {
+			return f.gateway.MaySend(f.start.ID, f.start.Attempt)
+		}))
+	})
+}
+
+// leave ends a lane's connection or the wait for it.
+func (f *flight) leave(which attempt.Lane, keep bool) {
+	l := f.lanes[which]
+	if l == nil {
+		return
+	}
+	f.lanes[which], l.gone = nil, true
+	switch {
+	case l.stop != nil:
+		l.stop()
+	case l.link != nil && keep:
+		l.link.Release()
+	case l.link != nil:
+		l.link.Drop()
+	}
+}
+
+// Data feeds the machine.
+func (l *lane) Data(b []byte) {
+	if !l.gone {
+		l.flight.carryOut(l.flight.machine.Fed(l.lane, b))
+	}
+}
+
+// Closed tells the machine that the connection ended.
+func (l *lane) Closed(error) {
+	if !l.gone {
+		l.link = nil
+		l.flight.carryOut(l.flight.machine.Broke(l.lane))
+	}
+}
+
+// fields reads a load report, as in inflight:7;util:0.61; what is no figure is left out.
+func fields(report string) []core.Field {
+	if report == "" {
+		return nil
+	}
+	var out []core.Field
+	for _, part := range strings.Split(report, ";") {
+		name, text, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if value, err := strconv.ParseFloat(strings.TrimSpace(text), 64); err == nil {
+			out = append(out, core.Field{Name: name, Value: value})
+		}
+	}
+	return out
+}
--- a/internal/netio/gateway.go
+++ b/internal/netio/gateway.go
@@ -26,7 +26,8 @@
 type Gateway struct {
 	Loop  *Loop
 	Core  *core.Core
-	Pool  *Pool
+	Pool  *Pool   // of the platform's engines
+	Pools []*Pool // all that hold connections to engines
 	Log   *slog.Logger
 	calls map[core.ID]*call
 	idle  func() // runs when nothing is open or out
@@ -42,7 +43,7 @@
 
 // NewGateway makes a Gateway.
 func NewGateway(loop *Loop, c *core.Core, pool *Pool, log *slog.Logger) *Gateway {
-	return &Gateway{Loop: loop, Core: c, Pool: pool, Log: log, calls: map[core.ID]*call{}}
+	return &Gateway{Loop: loop, Core: c, Pool: pool, Pools: []*Pool{pool}, Log: log, calls: map[core.ID]*call{}}
 }
 
 // Take hands a request to the core.
@@ -66,7 +67,9 @@
 func (g *Gateway) Roster(whole bool, lines []core.Line) {
 	gone, actions := g.Core.Roster(g.Loop.Now(), whole, lines)
 	for _, e := range gone {
-		g.Pool.Forget(e.ID)
+		for _, p := range g.Pools {
+			p.Forget(e.ID)
+		}
 	}
 	g.carryOut(actions, nil)
 }
@@ -76,6 +79,16 @@
 	return g.Core.MaySend(g.Loop.Now(), id, n)
 }
 
+// Began says that a part of an attempt's answer is there, and tells whether it is to go out.
+func (g *Gateway) Began(id core.ID, n int) bool {
+	wanted, actions := g.Core.Began(g.Loop.Now(), id, n)
+	if c := g.calls[id]; c != nil && len(actions) > 0 {
+		c.timer.Stop()
+	}
+	g.carryOut(actions, nil)
+	return wanted
+}
+
 // Progress passes on a note.
 func (g *Gateway) Progress(id core.ID, n int, done float64) {
 	g.carryOut(g.Core.Progress(g.Loop.Now(), id, n, done), nil)
--- /dev/null
+++ b/internal/netio/mysqlfront.go
@@ -0,0 +1,236 @@
+package netio
+
+import (
+	"crypto/rand"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"frostpier/internal/core"
+	"frostpier/internal/mysql"
+)
+
+const (
+	relayAhead = 256 << 10 // bytes of an answer that wait for its client before the engine's side is not read on
+	mysqlQueue = relayAhead + 2<<20
+)
+
+// MySQLSetup is how the front is to be.
+type MySQLSetup struct {
+	Listen     string
+	MostOpen   int
+	Accounts   map[string]*mysql.Account
+	User       string // at the engines
+	Password   string
+	EnginePort string
+	Engines    map[string]string // addresses by the engine's name, where the port alone does not tell
+}
+
+// MySQLFront is the front for clients that speak MySQL.
+type MySQLFront struct {
+	gateway *Gateway
+	pool    *Pool
+	log     *slog.Logger
+	setup   MySQLSetup
+	ln      net.Listener
+	open    map[*mysqlClient]bool
+	threads uint32
+	again   *Timer
+}
+
+// NewMySQLFront makes the front; pool is for its connections to engines alone.
+func NewMySQLFront(g *Gateway, pool *Pool, log *slog.Logger, setup MySQLSetup) *MySQLFront {
+	return &MySQLFront{gateway: g, pool: pool, log: log, setup: setup, open: map[*mysqlClient]bool{}}
+}
+
+// Listen opens the listener; it is called on the loop. A second call while it is open does nothing.
+func (f *MySQLFront) Listen() error {
+	if f.ln != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", f.setup.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for MySQL clients: %w", err)
+	}
+	f.ln = ln
+	f.log.Info("mysql front listens", "listen", ln.Addr().String())
+	go accept(f.gateway.Loop, f.log, ln, f.take)
+	return nil
+}
+
+// Addr is where it listens; nil while it does not.
+func (f *MySQLFront) Addr() net.Addr {
+	if f.ln == nil {
+		return nil
+	}
+	return f.ln.Addr()
+}
+
+// Hush closes the listener; connections that are open stay.
+func (f *MySQLFront) Hush() {
+	f.again.Stop()
+	if f.ln != nil {
+		f.ln.Close()
+		f.ln = nil
+		f.log.Info("mysql front listens no more")
+	}
+}
+
+// Retry has f run later, unless the listener is to be closed before.
+func (f *MySQLFront) Retry(after time.Duration, try func()) {
+	f.again = f.gateway.Loop.After(after, try)
+}
+
+// Finish closes the connections once what they were to get is written.
+func (f *MySQLFront) Finish() {
+	for c := range f.open {
+		c.conn.Finish()
+	}
+}
+
+func (f *MySQLFront) take(nc net.Conn) {
+	if len(f.open) >= f.setup.MostOpen {
+		f.log.Warn("too many mysql clients", "open", len(f.open))
+		nc.Close()
+		return
+	}
+	f.threads++
+	c := &mysqlClient{front: f}
+	machine, greeting := mysql.NewFront(f.setup.Accounts, f.threads, scramble())
+	c.machine = machine
+	f.open[c] = true
+	c.conn = NewConn(f.gateway.Loop, nc, c, mysqlQueue)
+	c.conn.OnDrained(c.drained)
+	c.conn.Write(greeting)
+}
+
+// scramble is 20 bytes of chance, none of them zero or a dollar sign, as clients expect.
+func scramble() []byte {
+	b := make([]byte, 20)
+	rand.Read(b)
+	for i := range b {
+		b[i] = 'A' + b[i]%26 + 32*(b[i]>>7)
+	}
+	return b
+}
+
+// engineAddr is where an engine speaks MySQL.
+func (f *MySQLFront) engineAddr(e core.Engine) string {
+	if addr, told := f.setup.Engines[e.Name]; told {
+		return addr
+	}
+	host, _, err := net.SplitHostPort(e.Addr)
+	if err != nil {
+		return e.Addr
+	}
+	return net.JoinHostPort(host, f.setup.EnginePort)
+}
+
+// mysqlClient is one connection.
+type mysqlClient struct {
+	front   *MySQLFront
+	conn    *Conn
+	machine *mysql.Front
+	call    *mysql.Call // the query that runs
+	id      core.ID
+	flight  *flight
+	held    bool // the engine's side is not read, as the client is behind
+}
+
+// Data feeds the machine.
+func (c *mysqlClient) Data(b []byte) { c.carryOut(c.machine.Feed(b)) }
+
+// Closed calls off what runs.
+func (c *mysqlClient) Closed(error) {
+	delete(c.front.open, c)
+	c.leave()
+}
+
+func (c *mysqlClient) leave() {
+	if c.call != nil {
+		c.call = nil
+		c.front.gateway.Leave(c.id)
+	}
+}
+
+func (c *mysqlClient) end() {
+	c.conn.Finish()
+	delete(c.front.open, c)
+	c.leave()
+}
+
+func (c *mysqlClient) carryOut(events []mysql.Event) {
+	for _, e := range events {
+		switch {
+		case e.Write != nil:
+			c.conn.Write(e.Write)
+		case e.Call != nil:
+			c.run(e.Call)
+		case e.Close:
+			c.end()
+		}
+	}
+}
+
+func (c *mysqlClient) run(call *mysql.Call) {
+	group := core.TableGroup(call.Text)
+	if group == 0 {
+		group = core.SchemaGroup(call.Schema)
+	}
+	c.call = call
+	c.front.gateway.Take(core.Ask{Class: call.Account.Class, TableGroup: group, Remaining: call.Account.Budget},
+		c, func(id core.ID) { c.id = id })
+}
+
+// Attempt sends the query to an engine.
+func (c *mysqlClient) Attempt(a core.Start) Attempt {
+	f := c.front
+	machine, steps := mysql.NewExchange(c.call, f.setup.User, f.setup.Password)
+	c.flight = fly(f.gateway, f.pool, a, f.engineAddr(a.Engine), machine, steps, c.relay)
+	return c.flight
+}
+
+// relay passes a part of the answer on; the engine's side waits while the client is behind.
+func (c *mysqlClient) relay(b []byte) {
+	c.conn.Write(b)
+	if !c.held && c.conn.Waiting() > relayAhead && c.flight != nil {
+		c.held = true
+		c.flight.Pause()
+		c.drained() // in case all has been written meanwhile
+	}
+}
+
+// drained goes on with the engine's side.
+func (c *mysqlClient) drained() {
+	if c.held && c.conn.Waiting() <= relayAhead/2 && c.flight != nil {
+		c.held = false
+		c.flight.Resume()
+	}
+}
+
+// Answer ends the query. An answer that broke off in the middle of a row can only be told by the connection's end.
+func (c *mysqlClient) Answer(r core.Reply, result any) {
+	last, _ := result.([]byte)
+	c.call, c.flight, c.held = nil, nil, false
+	switch {
+	case r.Verdict == core.Served, r.Verdict == core.Broken && last != nil:
+		c.conn.Write(last)
+	case r.Verdict == core.Broken:
+		c.end()
+		return
+	case r.Late:
+		c.conn.Write(mysql.Deadline())
+	case r.Verdict == core.Refused:
+		c.conn.Write(mysql.Refusal(r.ComeBack))
+	default:
+		c.conn.Write(mysql.Failure())
+	}
+	c.front.gateway.Loop.After(0, func() {
+		if !c.conn.closed {
+			c.carryOut(c.machine.Done())
+		}
+	})
+}
+
+var _ Caller = (*mysqlClient)(nil)
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -34,6 +34,7 @@
 	pool   *Pool
 	engine policy.EngineID
 	user   Handler // nil while idle
+	Memory any     // what a state machine keeps with the connection
 	timer  *Timer
 }
 
@@ -78,6 +79,7 @@
 		return
 	}
 	l.user = nil
+	l.Resume()
 	l.timer = l.pool.loop.After(l.pool.idleFor, func() { l.pool.unlist(l); l.Drop() })
 	l.pool.idle[l.engine] = append(l.pool.idle[l.engine], l)
 }
--- /dev/null
+++ b/internal/netio/vrrp.go
@@ -0,0 +1,97 @@
+package netio
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"frostpier/internal/vrrp"
+)
+
+// Standby drives a virtual router over UDP.
+type Standby struct {
+	loop   *Loop
+	log    *slog.Logger
+	router *vrrp.Router
+	sock   *net.UDPConn
+	peers  []netip.AddrPort
+	alarm  *Timer
+	change func(vrrp.State)
+}
+
+// NewStandby opens the socket; change runs on the loop whenever the state changes.
+func NewStandby(loop *Loop, log *slog.Logger, router *vrrp.Router, listen netip.AddrPort, peers []netip.AddrPort,
+	change func(vrrp.State)) (*Standby, error) {
+	sock, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, fmt.Errorf("listen for VRRP: %w", err)
+	}
+	return &Standby{loop: loop, log: log, router: router, sock: sock, peers: peers, change: change}, nil
+}
+
+// Start is called on the loop.
+func (s *Standby) Start() {
+	go s.read()
+	s.carryOut(s.router.Startup())
+}
+
+// Stop is called on the loop; a master tells the others.
+func (s *Standby) Stop() {
+	s.carryOut(s.router.Shutdown())
+	s.sock.Close()
+}
+
+func (s *Standby) read() {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := s.sock.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // an answer that a peer is not there
+			s.log.Debug("vrrp read", "error", err)
+			continue
+		}
+		s.loop.Do(func() { s.received(from, buf[:n]) })
+	}
+}
+
+func (s *Standby) received(from netip.AddrPort, b []byte) {
+	listed := false
+	for _, p := range s.peers {
+		listed = listed || p == netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	}
+	if !listed {
+		s.log.Warn("vrrp message discarded", "from", from, "error", "no peer of this router")
+		return
+	}
+	steps, err := s.router.Received(from.Addr().Unmap(), b)
+	if err != nil {
+		s.log.Warn("vrrp message discarded", "from", from, "error", err)
+	}
+	s.carryOut(steps)
+}
+
+func (s *Standby) carryOut(steps []vrrp.Step) {
+	for _, step := range steps {
+		if step.Send != nil {
+			for _, p := range s.peers {
+				if _, err := s.sock.WriteToUDPAddrPort(step.Send, p); err != nil {
+					s.log.Debug("vrrp send", "to", p, "error", err)
+				}
+			}
+		}
+		if step.Quiet || step.Alarm > 0 {
+			s.alarm.Stop()
+		}
+		if step.Alarm > 0 {
+			s.alarm = s.loop.After(step.Alarm, func() { s.carryOut(s.router.Rang()) })
+		}
+		if step.Now != nil {
+			s.log.Info("vrrp state", "state", step.Now.String())
+			s.change(*step.Now)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -256,7 +256,7 @@
 // TimerFired is a timer that came due.
 type TimerFired struct{ Token uint64 }
 
-// Closing says that the host goes down: whatever is still open is to be answered now.
+// Closing says that the host goes down: whatever is open and has no answer under way is answered now.
 type Closing struct{}
 
 func (EngineList) event()    {}
@@ -372,7 +372,9 @@
 		g.probed(e)
 	case Closing:
 		for _, r := range slices.Clone(g.open) {
-			g.answer(r)
+			if !r.streaming {
+				g.answer(r)
+			}
 		}
 	case TimerFired:
 		if e.Token == beatToken {
