Test both fronts and VRRP through the running program against stand-ins

Seen: MySQL with prepared statements works end to end: success, deadline 3024, refusal 1040 with the time to come back, statement errors passed on, split and oversized packets, a keyed repeat with one effect, an execute after its first engine drained, a close mid-result that ends in KILL QUERY, one attempt out throughout, the listener following the VRRP master.

A stand-in taught that a query whose connection breaks is still running and is asked for on another connection, so it costs no further attempt.

--- /dev/null
+++ b/cmd/frostpier/httpengine_test.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// httpEngine stands in for an engine of the platform. What a statement's text holds tells what becomes of it:
+// "sleep" runs until deleted, "full" never runs, "fault" fails, "break" runs but its connection is cut, "pages"
+// has three pages, "mute" gets no answer.
+type httpEngine struct {
+	ln    net.Listener
+	mu    sync.Mutex
+	posts []post
+	gone  map[string]bool // deleted
+	out   map[string]int
+	most  int  // attempts of one statement out together, here
+	well  bool // it serves whatever the text holds; set before the program starts
+}
+
+type post struct {
+	head textproto.MIMEHeader
+	body string
+}
+
+func newHTTPEngine(t *testing.T) *httpEngine {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &httpEngine{ln: ln, gone: map[string]bool{}, out: map[string]int{}}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(nc)
+		}
+	}()
+	return e
+}
+
+func (e *httpEngine) addr() string { return e.ln.Addr().String() }
+
+func (e *httpEngine) got(text string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, p := range e.posts {
+		if strings.Contains(p.body, text) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *httpEngine) deleted() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.gone)
+}
+
+func (e *httpEngine) serve(nc net.Conn) {
+	defer nc.Close()
+	r := textproto.NewReader(bufio.NewReader(nc))
+	for {
+		line, err := r.ReadLine()
+		if err != nil {
+			return
+		}
+		head, err := r.ReadMIMEHeader()
+		if err != nil {
+			return
+		}
+		n, _ := strconv.Atoi(head.Get("Content-Length"))
+		body := make([]byte, n)
+		if _, err := io.ReadFull(r.R, body); err != nil {
+			return
+		}
+		method, rest, _ := strings.Cut(line, " ")
+		path, _, _ := strings.Cut(rest, " ")
+		answer := e.answer(method, path, head, string(body))
+		if answer == "" {
+			return
+		}
+		if _, err := io.WriteString(nc, answer); err != nil {
+			return
+		}
+	}
+}
+
+func reply(status int, body string, heads ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %d -\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body),
+		strings.Join(append(heads, ""), "\r\n"), body)
+}
+
+const report = "X-Report: queue:0;inflight:1;x0:0.2;x1:0.1"
+
+func (e *httpEngine) answer(method, path string, head textproto.MIMEHeader, body string) string {
+	id, page := head.Get("X-Hop-Id"), "0"
+	if method != "POST" {
+		parts := strings.Split(strings.TrimPrefix(path, "/v2/q/"), "/")
+		id = parts[0]
+		if len(parts) > 1 {
+			page = parts[1]
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if method == "POST" {
+		e.posts = append(e.posts, post{head, body})
+		e.out[id]++
+		e.most = max(e.most, e.out[id])
+	} else {
+		for _, p := range e.posts {
+			if p.head.Get("X-Hop-Id") == id {
+				body = p.body
+			}
+		}
+	}
+	if method == "DELETE" {
+		e.gone[id] = true
+		e.out[id] = 0
+		return reply(204, "")
+	}
+	e.mu.Unlock()
+	defer e.mu.Lock()
+	return e.news(id, page, body, method == "POST")
+}
+
+func (e *httpEngine) news(id, page, body string, first bool) string {
+	end := func(answer string) string {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.out[id] = 0
+		return answer
+	}
+	switch {
+	case body == "":
+		return reply(500, "")
+	case e.well:
+		return end(reply(200, "a\tb\tc\n", "Page-Count: 1", report))
+	case strings.Contains(body, "sleep"):
+		time.Sleep(30 * time.Millisecond) // a poll here is shorter than the platform's
+		return reply(202, "", "X-Tell: done", "Figure: 0.5")
+	case strings.Contains(body, "full"):
+		return end(reply(503, "", "X-No-Effect: 1", report))
+	case strings.Contains(body, "fault"):
+		return end(reply(500, "", report))
+	case strings.Contains(body, "garbage") && first:
+		return "HTTP/1.1 nonsense\r\n\r\n"
+	case strings.Contains(body, "break") && first:
+		end("")
+		return ""
+	case strings.Contains(body, "pages") && page != "0":
+		return reply(200, "page"+page+"\tx\ty\n", "Page-No: "+page)
+	case strings.Contains(body, "pages"):
+		return end(reply(200, "page0\tx\ty\n", "Page-Count: 3", report))
+	}
+	return end(reply(200, "a\tb\tc\n", "Page-Count: 1", report))
+}
--- /dev/null
+++ b/cmd/frostpier/mysql_test.go
@@ -0,0 +1,432 @@
+package main
+
+import (
+	"bytes"
+	"crypto/sha1"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// sqlClient is a client that speaks MySQL.
+type sqlClient struct {
+	t  *testing.T
+	nc net.Conn
+}
+
+// shaOf is SHA-1 over all parts.
+func shaOf(parts ...[]byte) []byte {
+	h := sha1.Sum(bytes.Join(parts, nil))
+	return h[:]
+}
+
+// dialSQL logs in and returns the answer to that.
+func dialSQL(t *testing.T, addr, user, password string) (*sqlClient, []byte) {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	c := &sqlClient{t, nc}
+	g := c.read()
+	at := bytes.IndexByte(g, 0) + 5
+	scramble := slices.Concat(g[at:at+8], g[at+27:at+39])
+	stage1 := shaOf([]byte(password))
+	proof := shaOf(scramble, shaOf(stage1))
+	for i := range proof {
+		proof[i] ^= stage1[i]
+	}
+	caps := uint32(1 | 1<<9 | 1<<15 | 1<<19)
+	login := string(binary.LittleEndian.AppendUint32(nil, caps)) + "\xff\xff\xff\x00\x2d" + strings.Repeat("\x00", 23) +
+		user + "\x00\x14" + string(proof) + "mysql_native_password\x00"
+	io.WriteString(nc, packetOf(1, login))
+	return c, c.read()
+}
+
+func (c *sqlClient) read() []byte {
+	c.t.Helper()
+	_, p, err := readPacket(c.nc)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return p
+}
+
+func (c *sqlClient) send(code byte, body string) {
+	io.WriteString(c.nc, packetOf(0, string([]byte{code})+body))
+}
+
+func (c *sqlClient) wantOK(what string) {
+	c.t.Helper()
+	if p := c.read(); p[0] != 0 {
+		c.t.Fatalf("%s: %q", what, p)
+	}
+}
+
+func (c *sqlClient) wantErr(code int) string {
+	c.t.Helper()
+	p := c.read()
+	if p[0] != 0xff || int(binary.LittleEndian.Uint16(p[1:])) != code {
+		c.t.Fatalf("got %q, want error %d", p, code)
+	}
+	return string(p[9:])
+}
+
+// wantRows reads a result and returns its rows as they came.
+func (c *sqlClient) wantRows() []string {
+	c.t.Helper()
+	if p := c.read(); string(p) != "\x01" {
+		c.t.Fatalf("got %q, want a result of one column", p)
+	}
+	if def, eof := c.read(), c.read(); string(def) != columnDef || string(eof) != eofPayload {
+		c.t.Fatalf("the definitions came changed: %q %q", def, eof)
+	}
+	var rows []string
+	for {
+		p := c.read()
+		if p[0] == 0xfe && len(p) < 9 {
+			return rows
+		}
+		rows = append(rows, string(p))
+	}
+}
+
+func (c *sqlClient) prepare(text string) uint32 {
+	c.t.Helper()
+	c.send(0x16, text)
+	p := c.read()
+	if p[0] != 0 {
+		c.t.Fatalf("prepare: %q", p)
+	}
+	params := int(binary.LittleEndian.Uint16(p[7:]))
+	for i := 0; params > 0 && i < params+1; i++ {
+		c.read()
+	}
+	if want := strings.Count(text, "?"); params != want {
+		c.t.Fatalf("%d parameters, want %d", params, want)
+	}
+	return binary.LittleEndian.Uint32(p[1:])
+}
+
+func le32(n uint32) string { return string(binary.LittleEndian.AppendUint32(nil, n)) }
+
+const bound = "\x00\x01\xfd\x00" // no nulls, types follow: one text
+
+func (c *sqlClient) execute(id uint32, params string) {
+	c.send(0x17, le32(id)+"\x00\x01\x00\x00\x00"+params)
+}
+
+var wantRows = []string{"\x05row 1", "\x05row 2"}
+
+// sqlNode starts a program with the MySQL front and engines that speak it.
+type sqlNode struct {
+	*node
+	addr    string
+	led     *ledger
+	engines []*sqlEngine
+}
+
+func startSQL(t *testing.T, inList int, budget int, engines int) *sqlNode {
+	t.Helper()
+	n := &sqlNode{addr: freePort(t), led: newLedger()}
+	var list []listed
+	named := ""
+	for i := range engines {
+		name := string(rune('A' + i))
+		e := newSQLEngine(t, name, n.led)
+		n.engines = append(n.engines, e)
+		named += fmt.Sprintf("%s = %q\n", name, e.addr())
+		if i < inList {
+			list = append(list, inService(name, "127.0.0.1:1"))
+		}
+	}
+	accounts := ""
+	for _, class := range []string{"lookup", "report", "form-load"} {
+		accounts += fmt.Sprintf("[[mysql.account]]\nuser = %q\npassword_hash = \"*%X\"\nclass = %q\nbudget_ms = %d\n", class,
+			shaOf(shaOf([]byte("secret"))), class, budget)
+	}
+	n.node = startNode(t, fmt.Sprintf("[mysql]\nlisten = %q\nengine_user = \"gw\"\nengine_password = \"pw\"\n[mysql.engines]\n%s%s",
+		n.addr, named, accounts), list...)
+	t.Cleanup(func() {
+		n.led.mu.Lock()
+		defer n.led.mu.Unlock()
+		if n.led.most > 1 {
+			t.Errorf("%d attempts of one request were out together", n.led.most)
+		}
+	})
+	return n
+}
+
+func (n *sqlNode) login(user string) *sqlClient {
+	n.t.Helper()
+	c, p := dialSQL(n.t, n.addr, user, "secret")
+	if p[0] != 0 {
+		n.t.Fatalf("login: %q", p)
+	}
+	return c
+}
+
+func TestMySQLServesStatements(t *testing.T) {
+	n := startSQL(t, 1, 4000, 1)
+	c := n.login("lookup")
+	c.send(0x0e, "")
+	c.wantOK("ping")
+	c.send(0x02, "sales_17")
+	c.wantOK("init db")
+	c.send(0x03, "SELECT 1 FROM t")
+	if rows := c.wantRows(); !slices.Equal(rows, wantRows) {
+		t.Fatalf("rows %q", rows)
+	}
+	id := c.prepare("SELECT c FROM t WHERE c = ?")
+	c.execute(id, bound+"\x03abc")
+	c.wantRows()
+	c.execute(id, "\x00\x00\x03def") // the types are remembered
+	c.wantRows()
+	n.engines[0].mu.Lock()
+	last := n.engines[0].execs[1]
+	n.engines[0].mu.Unlock()
+	if string(last[10:]) != bound+"\x03def" {
+		t.Fatalf("the engine got %q", last)
+	}
+	io.WriteString(c.nc, packetOf(0, "\x18"+le32(id)+"\x00\x00lo")+packetOf(0, "\x18"+le32(id)+"\x00\x00ng"))
+	c.execute(id, bound)
+	c.wantRows()
+	if longs := n.engines[0].longs; len(longs) != 1 || longs[0] != "long" {
+		t.Fatalf("long data %q", longs)
+	}
+	c.send(0x1a, le32(id))
+	c.wantOK("reset")
+	c.send(0x19, le32(id))
+	c.execute(id, bound+"\x03abc")
+	c.wantErr(1243)
+}
+
+func TestMySQLRejectsUnrun(t *testing.T) {
+	n := startSQL(t, 1, 4000, 1)
+	if _, p := dialSQL(t, n.addr, "lookup", "guess"); p[0] != 0xff || binary.LittleEndian.Uint16(p[1:]) != 1045 {
+		t.Fatalf("a wrong password: %q", p)
+	}
+	c := n.login("lookup")
+	for text, code := range map[string]int{"BEGIN": 1235, "/* x */ start transaction": 1235, "SET autocommit=0": 1235, "commit": 1235} {
+		c.send(0x03, text)
+		c.wantErr(code)
+	}
+	c.send(0x03, "SET NAMES utf8mb4")
+	c.wantOK("set names")
+	c.send(0x1c, le32(1)) // fetch
+	c.wantErr(1047)
+	id := c.prepare("SELECT ?")
+	c.execute(id, "\x00") // no types were ever bound
+	c.wantErr(1835)
+	c.send(0x01, "")
+	l := n.login("form-load")
+	l.send(0x03, "load without a key")
+	l.wantErr(1105)
+	if runs := n.led.count(""); runs != 0 {
+		t.Fatalf("%d of them ran", runs)
+	}
+}
+
+func TestMySQLDeadline(t *testing.T) {
+	n := startSQL(t, 1, 400, 1)
+	c := n.login("report")
+	c.send(0x03, "sleep")
+	c.wantErr(3024)
+	waitFor(t, "the kill", func() bool { return n.led.stillOut() == 0 })
+	c.send(0x0e, "")
+	c.wantOK("the connection serves on")
+}
+
+func TestMySQLRefusal(t *testing.T) {
+	n := startSQL(t, 1, 1500, 1)
+	n.engines[0].mu.Lock()
+	n.engines[0].full = true
+	n.engines[0].mu.Unlock()
+	c := n.login("lookup")
+	c.send(0x03, "SELECT 1")
+	if text := c.wantErr(1040); !strings.Contains(text, "come back in 500 ms") {
+		t.Fatalf("the refusal says %q", text)
+	}
+}
+
+func TestMySQLErrors(t *testing.T) {
+	n := startSQL(t, 2, 4000, 2)
+	c := n.login("lookup")
+	c.send(0x03, "wrong")
+	c.wantErr(1064) // the statement's own: passed on, not tried again
+	if runs := n.led.count("wrong"); runs != 1 {
+		t.Fatalf("ran %d times", runs)
+	}
+	c.send(0x03, "down")
+	c.wantErr(1040) // the engines': tried elsewhere, then refused, as it is safe to repeat
+	if runs := n.led.count("down"); runs < 2 {
+		t.Fatalf("ran %d times", runs)
+	}
+	c.send(0x03, "cut") // after the first row there is no other attempt, and the break shows
+	c.read()
+	c.read()
+	c.read()
+	c.read()
+	c.wantErr(1105)
+	if runs := n.led.count("cut"); runs != 1 {
+		t.Fatalf("ran %d times", runs)
+	}
+}
+
+func TestMySQLSplitAndOversizedPackets(t *testing.T) {
+	n := startSQL(t, 1, 4000, 1)
+	c := n.login("lookup")
+	for _, b := range []byte(packetOf(0, "\x03SELECT 1")) {
+		c.nc.Write([]byte{b})
+	}
+	c.wantRows()
+	id := c.prepare("SELECT ?")
+	io.WriteString(c.nc, packetOf(0, "\x17"+le32(id)+"\x00\x01\x00\x00\x00"+bound+"\x01a")+packetOf(0, "\x0e")) // together
+	c.wantRows()
+	c.wantOK("the ping behind")
+	c.nc.Write([]byte{0xff, 0xff, 0xff, 0, 3})
+	c.wantErr(1153)
+	if _, _, err := readPacket(c.nc); err == nil {
+		t.Fatal("the connection stayed open")
+	}
+}
+
+// A load whose engine broke off after it may have run goes out again with its key, and has its effect once.
+func TestMySQLKeyedRepeat(t *testing.T) {
+	n := startSQL(t, 2, 15000, 2)
+	c := n.login("form-load")
+	c.send(0x03, "SET @replay_key = 'k-1'")
+	c.wantOK("key")
+	c.send(0x03, "lose load")
+	c.wantOK("load")
+	if runs := n.led.count("lose"); runs < 2 {
+		t.Fatalf("ran %d times", runs)
+	}
+	if effects := n.led.effects["'k-1'"]; effects != 1 {
+		t.Fatalf("%d effects", effects)
+	}
+	c.send(0x03, "load again")
+	c.wantErr(1105) // a key serves one load
+}
+
+// A statement prepared while one engine served is executed on another after that drains, with the types bound
+// before; nothing new goes to the drained one 2 s after it was told.
+func TestMySQLStatementOutlivesItsEngine(t *testing.T) {
+	n := startSQL(t, 1, 4000, 2)
+	c := n.login("lookup")
+	id := c.prepare("SELECT c FROM sales_17.t WHERE c = ?")
+	c.execute(id, bound+"\x03abc")
+	c.wantRows()
+	n.feed.tell(listed{"A", "127.0.0.1:1", "z", "m", "terminating"}, inService("B", "127.0.0.1:1"))
+	told := time.Now()
+	var lastAtA time.Time
+	waitFor(t, "an execute at B", func() bool {
+		before := n.led.count("A:")
+		c.execute(id, "\x00\x00\x03abc")
+		c.wantRows()
+		if n.led.count("A:") > before {
+			lastAtA = time.Now()
+		}
+		return n.led.count("B:") > 0
+	})
+	atA := n.led.count("A:")
+	for range 50 {
+		c.execute(id, "\x00\x00\x03abc")
+		c.wantRows()
+	}
+	if n.led.count("A:") != atA || !lastAtA.IsZero() && lastAtA.Sub(told) > 2*time.Second {
+		t.Fatalf("A got new work after it was told to drain")
+	}
+	if e := n.engines[1].execs[0]; string(e[10:]) != bound+"\x03abc" {
+		t.Fatalf("B got %q", e)
+	}
+}
+
+// A client that closes in the middle of a result has its query killed, and the attempt is out until then.
+func TestMySQLCloseMidResult(t *testing.T) {
+	n := startSQL(t, 1, 15000, 1)
+	c := n.login("report")
+	c.send(0x03, "many")
+	for range 8 {
+		c.read()
+	}
+	c.nc.Close()
+	waitFor(t, "the kill", func() bool { return n.led.killed() > 0 && n.led.stillOut() == 0 })
+	other := n.login("report")
+	other.send(0x03, "SELECT 1")
+	other.wantRows()
+}
+
+// A client that reads nothing holds the engine's side back; the program does not take the result in.
+func TestMySQLBackPressure(t *testing.T) {
+	n := startSQL(t, 1, 15000, 1)
+	c := n.login("report")
+	c.send(0x03, "many")
+	for range 4 {
+		c.read()
+	}
+	waitFor(t, "a query that runs", func() bool { return n.led.stillOut() == 1 })
+	other := n.login("lookup")
+	other.send(0x03, "SELECT 1")
+	other.wantRows() // the loop is not held
+	for range 4096 { // and the rows go on, numbered and whole
+		if p := c.read(); len(p) != 1027 {
+			t.Fatalf("a row of %d bytes", len(p))
+		}
+	}
+}
+
+// The master of the virtual router listens; at its planned stop the other takes over.
+func TestMySQLListenerFollowsTheMaster(t *testing.T) {
+	led := newLedger()
+	e := newSQLEngine(t, "A", led)
+	addr, udp := freePort(t), [2]string{freeUDP(t), freeUDP(t)}
+	var nodes [2]*node
+	for i, priority := range []int{200, 100} {
+		nodes[i] = startNode(t, fmt.Sprintf("[mysql]\nlisten = %q\nengine_user = \"gw\"\n[mysql.engines]\nA = %q\n"+
+			"[[mysql.account]]\nuser = \"u\"\npassword_hash = \"*%X\"\nclass = \"lookup\"\nbudget_ms = 4000\n"+
+			"[vrrp]\nlisten = %q\npeers = [%q]\nid = 7\npriority = %d\ninterval_ms = 100\npreempt = true\naddresses = [\"127.0.0.1\"]\n",
+			addr, e.addr(), shaOf(shaOf([]byte("p"))), udp[i], udp[1-i], priority), inService("A", "127.0.0.1:1"))
+		if i == 0 {
+			nodes[0].waitLog("mysql front listens")
+		}
+	}
+	c, p := dialSQL(t, addr, "u", "p")
+	if p[0] != 0 {
+		t.Fatalf("login: %q", p)
+	}
+	c.send(0x03, "SELECT 1")
+	c.wantRows()
+	nodes[0].cmd.Process.Signal(syscall.SIGTERM)
+	nodes[1].waitLog("mysql front listens")
+	waitFor(t, "the other to serve", func() bool {
+		nc, err := net.Dial("tcp", addr)
+		if err == nil {
+			nc.Close()
+		}
+		return err == nil
+	})
+	if c, p = dialSQL(t, addr, "u", "p"); p[0] != 0 {
+		t.Fatalf("login at the other: %q", p)
+	}
+	c.send(0x03, "SELECT 1")
+	c.wantRows()
+}
+
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	sock, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sock.Close()
+	return sock.LocalAddr().String()
+}
--- /dev/null
+++ b/cmd/frostpier/platform_test.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"bufio"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// rpc is a client of the platform.
+type rpc struct {
+	t  *testing.T
+	nc net.Conn
+	r  *bufio.Reader
+}
+
+type rpcAnswer struct {
+	ID     int `json:"id"`
+	Result *struct {
+		Blob    string `json:"blob"`
+		Serving *bool  `json:"serving"`
+	} `json:"result"`
+	Error *struct {
+		Code int `json:"code"`
+		Data struct {
+			Backoff int `json:"backoff"`
+		} `json:"data"`
+	} `json:"error"`
+}
+
+func dialRPC(t *testing.T, n *node) *rpc {
+	t.Helper()
+	nc, err := net.Dial("tcp", n.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	return &rpc{t, nc, bufio.NewReader(nc)}
+}
+
+func (c *rpc) line(text string) { io.WriteString(c.nc, text+"\n") }
+
+func (c *rpc) ask(id int, method, statement string, budget int, more string) {
+	c.line(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":"%016x","budget":%d%s,"blob":%q}}`, id, method,
+		id, budget, more, base64.StdEncoding.EncodeToString([]byte(statement))))
+}
+
+func (c *rpc) answer() rpcAnswer {
+	c.t.Helper()
+	line, err := c.r.ReadString('\n')
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	var a rpcAnswer
+	if err := json.Unmarshal([]byte(line), &a); err != nil {
+		c.t.Fatalf("%q: %v", line, err)
+	}
+	return a
+}
+
+func (c *rpc) served(id int, want string) {
+	c.t.Helper()
+	a := c.answer()
+	if a.ID != id || a.Result == nil || a.Result.Blob != base64.StdEncoding.EncodeToString([]byte(want)) {
+		c.t.Fatalf("answer %+v, want %q", a, want)
+	}
+}
+
+func (c *rpc) failed(id, code int) rpcAnswer {
+	c.t.Helper()
+	a := c.answer()
+	if a.ID != id || a.Error == nil || a.Error.Code != code {
+		c.t.Fatalf("answer %+v, want error %d for %d", a, code, id)
+	}
+	return a
+}
+
+func TestPlatformServesAndPassesOnUnchanged(t *testing.T) {
+	e := newHTTPEngine(t)
+	c := dialRPC(t, startNode(t, "", inService("e1", e.addr())))
+	statement := "SELECT 'Þór;\t' FROM sales_17.orders\n"
+	c.ask(1, "form-load", statement, 5000, `,"token":"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"`)
+	c.served(1, "a\tb\tc\n")
+	p := e.posts[0]
+	if p.body != statement || p.head.Get("X-Hop-Id") != "0000000000000001" || p.head.Get("X-Sort") != "form-load" ||
+		p.head.Get("X-Replay-Key") != "5c0f6e1a2b3d4c59a8b7c6d5e4f30211" {
+		t.Fatalf("the engine got %+v", p)
+	}
+	c.ask(2, "lookup", "pages", 3000, "")
+	c.served(2, "page0\tx\ty\npage1\tx\ty\npage2\tx\ty\n")
+}
+
+func TestPlatformErrors(t *testing.T) {
+	e := newHTTPEngine(t)
+	c := dialRPC(t, startNode(t, "", inService("e1", e.addr())))
+	c.line("{nonsense")
+	c.failed(0, -32700)
+	c.ask(1, "nosuch", "x", 1000, "")
+	c.failed(1, -32601)
+	c.ask(2, "lookup", "x", -1, "")
+	c.failed(2, -32602)
+	c.line(`{"jsonrpc":"2.0","id":3,"method":"lookup","params":{"rid":"3","budget":100,"blob":"%%"}}`)
+	c.failed(3, -32602)
+	c.ask(4, "form-load", "x", 1000, "") // a load without its key is not run
+	c.failed(4, -32602)
+	if n := e.got(""); n != 0 {
+		t.Fatalf("%d of them reached the engine", n)
+	}
+	c.line(strings.Repeat("x", 2<<20))
+	if _, err := c.r.ReadString('\n'); err == nil {
+		t.Fatal("an over-long line left the connection open")
+	}
+}
+
+// A refusal comes with the time to come back, at most what the settings allow.
+func TestPlatformRefusalSaysWhenToComeBack(t *testing.T) {
+	e := newHTTPEngine(t)
+	c := dialRPC(t, startNode(t, "", inService("e1", e.addr())))
+	c.ask(1, "lookup", "full", 1000, "")
+	if a := c.failed(1, -32008); a.Error.Data.Backoff <= 0 || a.Error.Data.Backoff > 500 {
+		t.Fatalf("backoff %d", a.Error.Data.Backoff)
+	}
+}
+
+// A safe query that fails at one engine is served by another; it never has two attempts out.
+func TestPlatformTriesElsewhere(t *testing.T) {
+	// A query whose connection breaks is asked for on another: it still runs, so that is no further attempt.
+	for text, further := range map[string]int{"break": 0, "fault": 1, "garbage": 1, "full": 1} {
+		bad, good := newHTTPEngine(t), newHTTPEngine(t)
+		good.well = true
+		n := startNode(t, "", inService("e1", bad.addr()), inService("e2", good.addr()))
+		c := dialRPC(t, n)
+		id := 0
+		waitFor(t, "one that met the bad engine first", func() bool {
+			id++ // each of another group of tables: those are spread over the engines
+			c.ask(id, "report", fmt.Sprintf("%s FROM sales_%d.orders", text, id), 15000, "")
+			c.served(id, "a\tb\tc\n")
+			return bad.got(text) > 0
+		})
+		if total := bad.got(text) + good.got(text); total != id+further {
+			t.Fatalf("%s: %d attempts of %d requests", text, total, id)
+		}
+		if bad.most > 1 || good.most > 1 {
+			t.Fatalf("%s: two attempts out together", text)
+		}
+	}
+}
+
+func TestPlatformAbortAndCloseCancel(t *testing.T) {
+	e := newHTTPEngine(t)
+	n := startNode(t, "", inService("e1", e.addr()))
+	c := dialRPC(t, n)
+	c.ask(1, "report", "sleep one", 15000, "")
+	waitFor(t, "the first query", func() bool { return e.got("one") == 1 })
+	c.line(`{"jsonrpc":"2.0","method":"abort","params":{"id":1}}`)
+	waitFor(t, "its end", func() bool { return e.deleted() == 1 })
+	c.ask(2, "report", "sleep two", 15000, "")
+	waitFor(t, "the second query", func() bool { return e.got("two") == 1 })
+	c.nc.Close()
+	waitFor(t, "its end", func() bool { return e.deleted() == 2 })
+}
+
+func TestPlatformDeadline(t *testing.T) {
+	e := newHTTPEngine(t)
+	c := dialRPC(t, startNode(t, "", inService("e1", e.addr())))
+	c.ask(1, "lookup", "sleep", 400, "")
+	c.failed(1, -32008) // safe to repeat: a refusal is honest
+	waitFor(t, "the end at the engine", func() bool { return e.deleted() == 1 })
+}
+
+// After SIGTERM ping says so, what is open is answered, new requests are still taken, and the program ends well.
+func TestPlatformStop(t *testing.T) {
+	e := newHTTPEngine(t)
+	n := startNode(t, "", inService("e1", e.addr()))
+	c := dialRPC(t, n)
+	c.line(`{"jsonrpc":"2.0","id":1,"method":"ping"}`)
+	if a := c.answer(); a.Result == nil || a.Result.Serving == nil || !*a.Result.Serving {
+		t.Fatalf("ping: %+v", a)
+	}
+	c.ask(2, "report", "sleep", 15000, "")
+	waitFor(t, "the query", func() bool { return e.got("sleep") == 1 })
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	n.waitLog("msg=stopping")
+	late := dialRPC(t, n)
+	late.line(`{"jsonrpc":"2.0","id":1,"method":"ping"}`)
+	if a := late.answer(); a.Result == nil || *a.Result.Serving {
+		t.Fatalf("ping: %+v", a)
+	}
+	late.ask(3, "lookup", "x", 3000, "")
+	late.served(3, "a\tb\tc\n")
+	c.failed(2, -32008)
+	if err := n.cmd.Wait(); err != nil {
+		t.Fatalf("exit: %v", err)
+	}
+}
+
+// A line of the bulletin that cannot be used is logged and asked for again behind the last event.
+func TestBulletinIsAskedAgain(t *testing.T) {
+	e := newHTTPEngine(t)
+	n := startNode(t, "", inService("e1", "127.0.0.1:1"))
+	waitFor(t, "the bulletin's client", func() bool { return n.feed.connected() == 1 })
+	n.feed.tell(listed{"e1", "127.0.0.1:1", "z", "m", "terminated"})
+	n.feed.raw("{nonsense")
+	waitFor(t, "its return", func() bool { return n.feed.connected() == 2 })
+	if n.feed.asked[1] != "after 2" {
+		t.Fatalf("asked %q", n.feed.asked[1])
+	}
+	n.feed.tell(inService("e2", e.addr()))
+	c := dialRPC(t, n)
+	c.ask(1, "lookup", "x", 3000, "")
+	c.served(1, "a\tb\tc\n")
+}
--- /dev/null
+++ b/cmd/frostpier/program_test.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience bounds what a test waits for; nothing is expected to take this long.
+const patience = 20 * time.Second
+
+// The test binary is the program too, when it is started as one.
+func TestMain(m *testing.M) {
+	if os.Getenv("FROSTPIER_AS_PROGRAM") == "" {
+		os.Exit(m.Run())
+	}
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	if err := run(term, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// node is the program, started by a test.
+type node struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	listen string
+	log    *lines
+	feed   *feed
+}
+
+// lines keeps what a process prints.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+const testSettings = `{"classes":[
+{"name":"lookup","objective":800000000,"give_up":4000000000,"repeat":"retryable","worth":1},
+{"name":"report","objective":3000000000,"give_up":15000000000,"repeat":"retryable","worth":10},
+{"name":"form-load","objective":4000000000,"give_up":20000000000,"repeat":"dedup","group":"all","window":12000000000,"worth":8}],
+"family_info":{"cores_by_kind":[12],"threads_by_class":[1,4,2],"is_load":[false,false,true]},"models":["m"],"zones":["z"],
+"permissions":{"attempts_cap":4,"cancel":true,"conn_idle":30000000000,"connect_timeout":250000000,"max_open":20000,"max_retry_after":500000000},
+"report":{"fields":["queue","inflight","x0","x1"],"via":"answers"},
+"rules":{"answer_slack":20000000,"drain_grace":2000000000,"free_resends":2,"extra_share":0.1,"ratio_span":5000000000},
+"siblings":1,"tick":5000000}`
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// startNode starts the program with engines in the list of its start, and an operator's file unless that is empty.
+func startNode(t *testing.T, operator string, engines ...listed) *node {
+	t.Helper()
+	n := &node{t: t, listen: freePort(t), log: &lines{}, feed: newFeed(t, engines...)}
+	dir := t.TempDir()
+	conf, err := json.Marshal(map[string]any{"name": "n0", "listen": n.listen, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"bulletin": n.feed.ln.Addr().String(), "settings": json.RawMessage(testSettings),
+		"known": map[string]any{"no": 1, "items": []any{n.feed.events[0]}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	env := append(os.Environ(), "FROSTPIER_AS_PROGRAM=1", "GW_CONFIG="+filepath.Join(dir, "config.json"), "GW_LISTEN="+n.listen)
+	if err := os.WriteFile(filepath.Join(dir, "config.json"), conf, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if operator != "" {
+		if err := os.WriteFile(filepath.Join(dir, "operator.toml"), []byte(operator), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		env = append(env, "FROSTPIER_OPERATOR="+filepath.Join(dir, "operator.toml"))
+	}
+	n.cmd = exec.Command(os.Args[0])
+	n.cmd.Env, n.cmd.Stdout, n.cmd.Stderr = env, n.log, n.log
+	if err := n.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		n.cmd.Process.Kill()
+		n.cmd.Wait()
+		if log := n.log.String(); strings.Contains(log, "panic") || strings.Contains(log, "invariant broken") ||
+			strings.Contains(log, "DATA RACE") {
+			t.Errorf("the program's log:\n%s", log)
+		} else if t.Failed() {
+			t.Logf("the end of the program's log:\n%s", log[max(0, len(log)-4000):])
+		}
+	})
+	n.waitLog("msg=serving")
+	return n
+}
+
+func (n *node) waitLog(text string) {
+	n.t.Helper()
+	waitFor(n.t, "log line "+text, func() bool { return strings.Contains(n.log.String(), text) })
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// listed is an engine as the bulletin tells of it.
+type listed struct {
+	Name  string `json:"instanceId"`
+	Addr  string `json:"hostPort"`
+	Zone  string `json:"zone"`
+	Kind  string `json:"machineType"`
+	State string `json:"lifecycle"`
+}
+
+func inService(name, addr string) listed { return listed{name, addr, "z", "m", "in_service"} }
+
+// feed is a bulletin.
+type feed struct {
+	ln     net.Listener
+	mu     sync.Mutex
+	events []map[string]any
+	conns  []net.Conn
+	asked  []string
+}
+
+func newFeed(t *testing.T, engines ...listed) *feed {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &feed{ln: ln}
+	f.events = append(f.events, event(1, engines))
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(nc)
+		}
+	}()
+	return f
+}
+
+func event(no int, engines []listed) map[string]any {
+	return map[string]any{"no": no, "roster": map[string]any{"generation": no, "reset": false, "instances": engines}}
+}
+
+func (f *feed) serve(nc net.Conn) {
+	line, err := bufio.NewReader(nc).ReadString('\n')
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, strings.TrimSpace(line))
+	after := 0
+	fmt.Sscanf(line, "after %d", &after)
+	for _, e := range f.events[min(after, len(f.events)):] {
+		f.write(nc, e)
+	}
+	f.conns = append(f.conns, nc)
+}
+
+func (f *feed) write(w io.Writer, e any) {
+	b, _ := json.Marshal(e)
+	w.Write(append(b, '\n'))
+}
+
+// tell records an event and tells it to all that are connected.
+func (f *feed) tell(engines ...listed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := event(len(f.events)+1, engines)
+	f.events = append(f.events, e)
+	for _, nc := range f.conns {
+		f.write(nc, e)
+	}
+}
+
+// raw writes a line as it is to all that are connected.
+func (f *feed) raw(line string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, nc := range f.conns {
+		io.WriteString(nc, line+"\n")
+	}
+}
+
+func (f *feed) connected() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.asked)
+}
