--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,239 @@
+package core
+
+import (
+	"flag"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"frostpier/internal/invariant"
+	"frostpier/internal/settings"
+	"frostpier/policy"
+)
+
+func init() { flag.Set("rapid.seed", "1"); flag.Set("rapid.nofailfile", "true") }
+
+const start = time.Duration(1_700_000_000) * time.Second
+
+func newCore(t testing.TB) (*Core, *invariant.Keeper) {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	keep := invariant.New(log)
+	class := policy.Class{Name: "lookup", Aim: 800 * time.Millisecond, Deadline: 4 * time.Second, Worth: 1, Threads: 1}
+	keyed := class
+	keyed.Name, keyed.Effect, keyed.Window = "form-load", policy.Keyed, 12*time.Second
+	host := settings.Host{ComeBack: 500 * time.Millisecond, Models: []string{"m"}, Zones: []string{"z"}, MaxOpen: 100,
+		Module: policy.Settings{Classes: []policy.Class{class, keyed}, Siblings: 1, Tick: 5 * time.Millisecond,
+			CanCancel: true, MaxAttempts: 4, Kinds: []policy.Kind{{Cores: 8}}}}
+	c, err := New(host, 1, log, keep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, keep
+}
+
+func engineLine(name string, h policy.Health) Line {
+	return Line{Name: name, Addr: name + ":1", Zone: "z", Kind: "m", Health: h, Weight: 1}
+}
+
+func first[A Action](t testing.TB, actions []Action) A {
+	t.Helper()
+	for _, a := range actions {
+		if found, ok := a.(A); ok {
+			return found
+		}
+	}
+	t.Fatalf("no such action in %+v", actions)
+	panic("unreachable")
+}
+
+var ask = Ask{Remaining: 4 * time.Second}
+
+func TestServedOnce(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
+	id, actions := c.Take(start, ask)
+	s := first[Start](t, actions)
+	if left, ok := c.MaySend(start+time.Millisecond, id, s.Attempt); !ok || left > 4*time.Second {
+		t.Fatalf("may send: %v, %v left", ok, left)
+	}
+	if r := first[Reply](t, c.Ended(start+time.Second, id, 0, policy.OK, nil)); r.Verdict != Served {
+		t.Fatalf("%+v", r)
+	}
+	if c.Leave(start+time.Second, id) != nil || c.Open() != 0 || c.Out() != 0 {
+		t.Fatal("something is left of it")
+	}
+}
+
+// Guards against work sent to an engine that was listed as draining while its connection was being dialled: the
+// grace of 2 s counts from the listing, not from the choice.
+func TestDrainIsLookedAtAgainAtTheFirstByte(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
+	id, _ := c.Take(start, ask)
+	c.Roster(start, false, []Line{engineLine("a", policy.Draining)})
+	if _, ok := c.MaySend(start+100*time.Millisecond, id, 0); ok {
+		t.Fatal("a draining engine gets new work")
+	}
+}
+
+// Guards likewise against an attempt that goes out when nobody waits for it any more.
+func TestDeadlineAndClientAreLookedAtAgainAtTheFirstByte(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
+	late, _ := c.Take(start, ask)
+	gone, _ := c.Take(start, ask)
+	if _, ok := c.MaySend(start+4*time.Second, late, 0); ok {
+		t.Error("sent after the client's end")
+	}
+	first[Stop](t, c.Leave(start, gone))
+	if _, ok := c.MaySend(start, gone, 0); ok {
+		t.Error("sent for a client that left")
+	}
+}
+
+// Guards against an answer that has begun going on for a client that closed: the module calls off none of those.
+func TestLeavingMidAnswerStopsTheAttempt(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
+	id, _ := c.Take(start, ask)
+	c.MaySend(start, id, 0)
+	if wanted, _ := c.Began(start, id, 0); !wanted {
+		t.Fatal("not wanted")
+	}
+	first[Stop](t, c.Leave(start, id))
+	if wanted, _ := c.Began(start, id, 0); wanted {
+		t.Fatal("still wanted")
+	}
+	if c.Out() != 1 {
+		t.Fatal("not out any more before the engine confirmed")
+	}
+	c.Ended(start, id, 0, policy.Cancelled, nil)
+}
+
+// Guards against a second attempt after the first row: the client would see rows of two.
+func TestNoFurtherAttemptAfterTheFirstRow(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Ready), engineLine("b", policy.Ready)})
+	id, _ := c.Take(start, ask)
+	c.MaySend(start, id, 0)
+	c.Began(start, id, 0)
+	actions := c.Ended(start, id, 0, policy.Reset, nil)
+	if r := first[Reply](t, actions); r.Verdict != Broken || len(actions) != 1 {
+		t.Fatalf("%+v", actions)
+	}
+}
+
+func TestCloseAnswersWhatIsOpen(t *testing.T) {
+	c, _ := newCore(t)
+	held, _ := c.Take(start, ask) // no engine: it is held
+	if r := first[Reply](t, c.Close(start)); r.ID != held || r.Verdict != Refused || r.ComeBack != 500*time.Millisecond {
+		t.Fatalf("%+v", r)
+	}
+}
+
+func TestEnginesThatAreGoneAreTold(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Ready), engineLine("b", policy.Ready)})
+	if gone, _ := c.Roster(start, true, []Line{engineLine("b", policy.Ready)}); len(gone) != 1 || gone[0].Name != "a" {
+		t.Fatalf("a new whole list: %+v", gone)
+	}
+	reused := Line{Name: "c", Addr: "a:1", Zone: "z", Kind: "m", Health: policy.Ready}
+	if gone, _ := c.Roster(start, false, []Line{reused, engineLine("b", policy.Gone)}); len(gone) != 1 || gone[0].Name != "b" {
+		t.Fatalf("an address that changes hands: %+v", gone)
+	}
+}
+
+func TestTableGroup(t *testing.T) {
+	for statement, want := range map[string]int{
+		"SELECT * FROM sales_17.orders":                                       17,
+		"select 1 from staging.t join q_5.t":                                  5,
+		"INSERT INTO `forms_3`.`t` VALUES ('a_9.b')":                          3,
+		"SELECT 'x_1.y', \"x_2.y\" -- x_4.y\n FROM /* x_6.y */ a_8.t":         8,
+		"# x_1.y\nUPDATE a_b_12.t SET c = 'it''s x_4.y' WHERE d = '\\'x_5.y'": 12,
+		"SELECT t_4.c FROM sales_17.orders t_4":                               17,
+		"SELECT 1":                                                            0, "": 0, "FROM staging_": 0, "'": 0, "/*": 0, "FROM a_99999999999.t": 0,
+	} {
+		if got := TableGroup(statement); got != want {
+			t.Errorf("%q: group %d, want %d", statement, got, want)
+		}
+	}
+}
+
+// Any legal order of events leaves one answer a request, one attempt out at a time, and nothing behind.
+func TestAnyOrderOfEvents(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c, keep := newCore(t)
+		now, answered, out := start, map[ID]int{}, map[ID][]int{}
+		var ids []ID
+		var carry func([]Action)
+		carry = func(actions []Action) {
+			for _, a := range actions {
+				switch a := a.(type) {
+				case Start:
+					out[a.ID] = append(out[a.ID], a.Attempt)
+					if len(out[a.ID]) > 1 {
+						rt.Fatalf("request %d has attempts %v out", a.ID, out[a.ID])
+					}
+				case Reply:
+					if answered[a.ID]++; answered[a.ID] > 1 {
+						rt.Fatalf("request %d is answered twice", a.ID)
+					}
+				}
+			}
+		}
+		carryRoster := func(_ []Engine, actions []Action) { carry(actions) }
+		carryRoster(c.Roster(now, true, []Line{engineLine("a", policy.Ready), engineLine("b", policy.Ready)}))
+		for range rapid.IntRange(1, 60).Draw(rt, "events") {
+			now += time.Duration(rapid.IntRange(0, 700).Draw(rt, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			case 0, 1:
+				id, actions := c.Take(now, Ask{Class: rapid.IntRange(0, 1).Draw(rt, "class"), Remaining: 4 * time.Second})
+				ids = append(ids, id)
+				carry(actions)
+			case 2:
+				carry(c.Due(now, 1<<63))
+			case 3:
+				health := policy.Health(rapid.IntRange(0, 2).Draw(rt, "health"))
+				carryRoster(c.Roster(now, false, []Line{engineLine(rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "engine"), health)}))
+			case 4:
+				if len(ids) > 0 {
+					id := rapid.SampledFrom(ids).Draw(rt, "leaves")
+					if answered[id] == 0 {
+						answered[id]++
+						carry(c.Leave(now, id))
+					}
+				}
+			case 5:
+				if len(ids) == 0 {
+					continue
+				}
+				id := rapid.SampledFrom(ids).Draw(rt, "ends")
+				if len(out[id]) == 1 {
+					n := out[id][0]
+					out[id] = nil
+					outcome := rapid.SampledFrom([]policy.Outcome{policy.OK, policy.Error, policy.Full, policy.Reset}).Draw(rt, "outcome")
+					if _, ok := c.MaySend(now, id, n); !ok {
+						outcome = policy.Moot
+					}
+					carry(c.Ended(now, id, n, outcome, nil))
+				}
+			}
+		}
+		carry(c.Close(now))
+		for _, id := range ids {
+			if answered[id] != 1 {
+				rt.Fatalf("request %d has %d answers", id, answered[id])
+			}
+			if len(out[id]) == 1 {
+				c.Ended(now, id, out[id][0], policy.Cancelled, nil)
+			}
+		}
+		if c.Open() != 0 || c.Out() != 0 || len(c.requests) != 0 || keep.Broken() != 0 {
+			rt.Fatalf("left: %d open, %d out, %d known; %d broken", c.Open(), c.Out(), len(c.requests), keep.Broken())
+		}
+	})
+}
--- /dev/null
+++ b/internal/httpq/httpq_test.go
@@ -0,0 +1,210 @@
+package httpq
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"frostpier/internal/attempt"
+	"frostpier/policy"
+)
+
+func init() { flag.Set("rapid.seed", "1"); flag.Set("rapid.nofailfile", "true") }
+
+func leave() (time.Duration, bool) { return time.Second, true }
+
+func begin(t testing.TB) *Query {
+	t.Helper()
+	q, _ := NewQuery(Request{Host: "e:1", ID: "9b1f", Class: "lookup", Statement: []byte("SELECT 1")})
+	var memory any
+	steps := q.Opened(attempt.Main, &memory, leave)
+	if w := wrote(steps); !strings.HasPrefix(w, "POST /v2/q HTTP/1.1\r\n") || !strings.HasSuffix(w, "\r\n\r\nSELECT 1") {
+		t.Fatalf("wrote %q", w)
+	}
+	return q
+}
+
+func wrote(steps []attempt.Step) string {
+	for _, s := range steps {
+		if w, ok := s.(attempt.Write); ok {
+			return string(w.Bytes)
+		}
+	}
+	return ""
+}
+
+func endOf(steps []attempt.Step) *attempt.End {
+	for _, s := range steps {
+		if e, ok := s.(attempt.End); ok {
+			return &e
+		}
+	}
+	return nil
+}
+
+func opens(steps []attempt.Step, lane attempt.Lane) bool {
+	for _, s := range steps {
+		if o, ok := s.(attempt.Open); ok && o.Lane == lane {
+			return true
+		}
+	}
+	return false
+}
+
+func response(status int, body string, heads ...string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body),
+		strings.Join(append(heads, ""), "\r\n"), body)
+}
+
+func TestOutcomes(t *testing.T) {
+	for want, bytes := range map[policy.Outcome][]byte{
+		policy.OK: response(200, "a", "Page-Count: 1"), policy.Full: response(503, "", "X-No-Effect: 1"),
+		policy.Error: response(500, ""), policy.Moot: response(504, "", "X-No-Effect: 1"),
+	} {
+		if e := endOf(begin(t).Fed(attempt.Main, bytes)); e == nil || e.Outcome != want {
+			t.Errorf("%.20q ends as %+v, want %v", bytes, e, want)
+		}
+	}
+}
+
+// Guards against taking a lost connection for a lost query: it runs on until nobody has asked for it in 2 s, and a
+// further attempt before would be the second one out. An engine whose table of connections is full refuses too, so
+// not even that proves an end.
+func TestBrokenConnectionIsNoEnd(t *testing.T) {
+	q := begin(t)
+	if steps := q.Broke(attempt.Main); endOf(steps) != nil || !opens(steps, attempt.Main) {
+		t.Fatalf("%+v", steps)
+	}
+	if steps := q.Failed(attempt.Main); endOf(steps) != nil {
+		t.Fatalf("refused: %+v", steps)
+	}
+	if steps := q.Rang(attempt.Again); !opens(steps, attempt.Main) {
+		t.Fatalf("does not try again: %+v", steps)
+	}
+	if e := endOf(q.Rang(attempt.Lost)); e == nil || e.Outcome != policy.Reset {
+		t.Fatalf("after 2 s unasked: %+v", e)
+	}
+}
+
+// Guards against reporting a cancelled attempt as ended before the engine has confirmed it.
+func TestGivenUpIsOutUntilConfirmed(t *testing.T) {
+	q := begin(t)
+	if steps := q.GiveUp(policy.Cancelled); endOf(steps) != nil || !opens(steps, attempt.Side) {
+		t.Fatalf("%+v", steps)
+	}
+	var memory any
+	if w := wrote(q.Opened(attempt.Side, &memory, leave)); !strings.HasPrefix(w, "DELETE /v2/q/9b1f HTTP/1.1\r\n") {
+		t.Fatalf("wrote %q", w)
+	}
+	if steps := q.Fed(attempt.Main, response(202, "")); endOf(steps) != nil || wrote(steps) != "" {
+		t.Fatalf("asked for again, or ended: %+v", steps)
+	}
+	if steps := q.Fed(attempt.Side, response(500, "")); endOf(steps) != nil {
+		t.Fatalf("500 taken for a confirmation: %+v", steps)
+	}
+	q.Rang(attempt.Again)
+	if e := endOf(q.Fed(attempt.Side, response(204, ""))); e == nil || e.Outcome != policy.Cancelled {
+		t.Fatalf("%+v", e)
+	}
+}
+
+func TestNothingWrittenNeverRan(t *testing.T) {
+	q, _ := NewQuery(Request{})
+	if e := endOf(q.GiveUp(policy.Cancelled)); e == nil || e.Outcome != policy.Moot {
+		t.Fatalf("given up before its connection: %+v", e)
+	}
+	q, _ = NewQuery(Request{})
+	if e := endOf(q.Failed(attempt.Main)); e == nil || e.Outcome != policy.NoConnection {
+		t.Fatalf("no connection: %+v", e)
+	}
+	q, _ = NewQuery(Request{})
+	var memory any
+	steps := q.Opened(attempt.Main, &memory, func() (time.Duration, bool) { return 0, false })
+	if e := endOf(steps); e == nil || e.Outcome != policy.Moot || wrote(steps) != "" {
+		t.Fatalf("no leave: %+v", steps)
+	}
+}
+
+func TestPages(t *testing.T) {
+	q := begin(t)
+	if w := wrote(q.Fed(attempt.Main, response(200, "a\n", "Page-Count: 2"))); !strings.HasPrefix(w, "GET /v2/q/9b1f/1 ") {
+		t.Fatalf("wrote %q", w)
+	}
+	if e := endOf(q.Fed(attempt.Main, response(200, "b\n", "Page-No: 1"))); e == nil || string(e.Result) != "a\nb\n" {
+		t.Fatalf("%+v", e)
+	}
+	for name, page := range map[string][]byte{"missing": response(500, ""), "another": response(200, "b", "Page-No: 2"),
+		"too large": response(200, strings.Repeat("x", maxResult), "Page-No: 1")} {
+		q := begin(t)
+		q.Fed(attempt.Main, response(200, "a\n", "Page-Count: 2"))
+		if e := endOf(q.Fed(attempt.Main, page)); e == nil || e.Outcome != policy.Error {
+			t.Errorf("%s page: %+v", name, e)
+		}
+	}
+}
+
+// A valid response in any pieces reads as the whole one, chunked or not.
+func TestCuts(t *testing.T) {
+	chunked := []byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nPage-Count: 1\r\n\r\n3;x=1\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	rapid.Check(t, func(rt *rapid.T) {
+		whole := rapid.SampledFrom([][]byte{chunked, response(200, "abcde", "Page-Count: 1")}).Draw(rt, "response")
+		q, rest := begin(t), whole
+		var e *attempt.End
+		for len(rest) > 0 {
+			n := rapid.IntRange(1, len(rest)).Draw(rt, "piece")
+			e = endOf(q.Fed(attempt.Main, rest[:n]))
+			rest = rest[n:]
+		}
+		if e == nil || e.Outcome != policy.OK || !bytes.Equal(e.Result, []byte("abcde")) {
+			rt.Fatalf("%+v", e)
+		}
+	})
+}
+
+// Whatever comes, nothing panics, and no attempt ends twice.
+func TestGarbage(t *testing.T) {
+	heads := rapid.SampledFrom([]string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 202 x\r\n\r\n", "Content-Length: ", "Page-Count: 2\r\n",
+		"Page-No: 1\r\n", "Transfer-Encoding: chunked\r\n", "ffffffff\r\n", "\r\n", "\r\n\r\n", "-1", "7", ": ", "HTTP/1.1 204 x\r\n\r\n"})
+	rapid.Check(t, func(rt *rapid.T) {
+		q, ends := begin(t), 0
+		var memory any
+		for range rapid.IntRange(1, 25).Draw(rt, "events") {
+			lane := attempt.Lane(rapid.IntRange(0, 1).Draw(rt, "lane"))
+			var steps []attempt.Step
+			switch rapid.IntRange(0, 7).Draw(rt, "event") {
+			case 0:
+				steps = q.GiveUp(policy.Cancelled)
+			case 1:
+				steps = q.Broke(lane)
+			case 2:
+				steps = q.Opened(lane, &memory, leave)
+			case 3:
+				steps = q.Rang(attempt.Alarm(rapid.IntRange(0, 2).Draw(rt, "alarm")))
+			case 4:
+				steps = q.Fed(lane, rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(rt, "bytes"))
+			default:
+				steps = q.Fed(lane, []byte(strings.Join(rapid.SliceOf(heads).Draw(rt, "heads"), "")))
+			}
+			if endOf(steps) != nil {
+				ends++
+			}
+		}
+		if ends > 1 {
+			rt.Fatalf("%d ends", ends)
+		}
+	})
+}
+
+func TestEndlessHeadAndBodyAreBounded(t *testing.T) {
+	for _, b := range [][]byte{bytes.Repeat([]byte("x"), maxHead+1), []byte("HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n")} {
+		q := begin(t)
+		if steps := q.Fed(attempt.Main, b); endOf(steps) != nil || !opens(steps, attempt.Side) {
+			t.Errorf("%.30q: %+v, want it called off", b, steps)
+		}
+	}
+}
