--- a/internal/httpq/response.go
+++ b/internal/httpq/response.go
@@ -65,7 +65,7 @@
 func (r *Reader) Idle() bool { return r.head == nil && len(r.buf) == 0 }
 
 func (r *Reader) readHead(head []byte) error {
-	t := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	t := textproto.NewReader(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
 	line, err := t.ReadLine()
 	if err != nil {
 		return fmt.Errorf("%w: %w", errMalformed, err)
@@ -91,6 +91,8 @@
 		if r.need, err = strconv.Atoi(length); err != nil || r.need < 0 || r.need > maxBody {
 			return fmt.Errorf("%w: content length %.40q", errMalformed, length)
 		}
+	case status == 200: // a body without an end could be served cut short
+		return fmt.Errorf("%w: a result without its length", errMalformed)
 	}
 	return nil
 }
@@ -110,7 +112,7 @@
 	}
 	done := r.head
 	done.Body, r.head = body, nil
-	if r.buf = bytes.Clone(r.buf[size:]); len(r.buf) > 0 {
+	if r.buf = r.buf[size:]; len(r.buf) > 0 {
 		return done, fmt.Errorf("%w: bytes behind a response that nothing asked for", errMalformed)
 	}
 	return done, nil
--- a/internal/netio/flight.go
+++ b/internal/netio/flight.go
@@ -94,7 +94,7 @@
 	l := &lane{flight: f, lane: s.Lane}
 	f.lanes[s.Lane] = l
 	e := f.start.Engine
-	l.stop = f.pool.Get(e.ID, f.addr, s.Fresh, l, func(link *Link, err error) {
+	l.stop = f.pool.Get(e.ID, f.addr, s.Fresh, s.Lane == attempt.Side, l, func(link *Link, err error) {
 		l.stop = nil
 		if err != nil {
 			f.carryOut(f.machine.Failed(l.lane))
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -47,11 +47,18 @@
 
 // Do hands work over and waits until it is done.
 func (l *Loop) Do(f func()) {
-	done := make(chan struct{})
-	l.Post(func() { defer close(done); f() })
+	done := make(chan struct{}, 1)
+	l.wait(func() { f(); done <- struct{}{} }, done)
+}
+
+// wait hands over work that says itself when it is done, and tells whether it was: not if the loop has ended.
+func (l *Loop) wait(f func(), done <-chan struct{}) bool {
+	l.Post(f)
 	select {
 	case <-done:
+		return true
 	case <-l.done:
+		return false
 	}
 }
 
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"time"
@@ -10,10 +9,9 @@
 	"frostpier/policy"
 )
 
-var errBudget = errors.New("no descriptor left for engines")
-
 const (
 	engineQueue = 4 << 20 // a statement and a call: no more waits at an engine
+	urgentShare = 48      // descriptors beyond the budget for calls that give attempts up
 	idleShare   = 3       // idle connections are closed after a third of the time that engines leave them
 )
 
@@ -26,6 +24,8 @@
 	idleFor time.Duration
 	budget  int // connections, dials included
 	held    int
+	waited  int      // how often a descriptor had to be waited for
+	queue   []func() // waits for a descriptor
 }
 
 // Link is a connection to an engine, owned by one call at a time or idle in the pool.
@@ -56,7 +56,7 @@
 
 // Closed passes on that the connection ended.
 func (l *Link) Closed(err error) {
-	l.pool.held--
+	l.pool.unhold()
 	if l.user != nil {
 		l.user.Closed(err)
 		return
@@ -66,6 +66,11 @@
 
 // Drop closes the connection.
 func (l *Link) Drop() {
+	l.drop()
+	l.pool.admit()
+}
+
+func (l *Link) drop() {
 	l.timer.Stop()
 	if !l.closed {
 		l.pool.held--
@@ -82,6 +87,7 @@
 	l.Resume()
 	l.timer = l.pool.loop.After(l.pool.idleFor, func() { l.pool.unlist(l); l.Drop() })
 	l.pool.idle[l.engine] = append(l.pool.idle[l.engine], l)
+	l.pool.admit()
 }
 
 func (p *Pool) unlist(l *Link) {
@@ -107,7 +113,7 @@
 
 // Get brings a connection for user: an idle one at once, unless fresh, or a new one. The returned function ends
 // the wait. done runs on the loop, never before Get returns.
-func (p *Pool) Get(engine policy.EngineID, addr string, fresh bool, user Handler, done func(*Link, error)) (stop func()) {
+func (p *Pool) Get(engine policy.EngineID, addr string, fresh, urgent bool, user Handler, done func(*Link, error)) (stop func()) {
 	stopped := false
 	stop = func() { stopped = true }
 	if list := p.idle[engine]; len(list) > 0 && !fresh {
@@ -119,7 +125,7 @@
 			case stopped && !l.closed:
 				l.Release()
 			case !stopped && l.closed: // the engine closed it meanwhile, which says nothing against the engine
-				again := p.Get(engine, addr, true, user, done)
+				again := p.Get(engine, addr, true, urgent, user, done)
 				stop = again
 			case !stopped:
 				done(l, nil)
@@ -127,28 +133,58 @@
 		})
 		return func() { stop() }
 	}
-	if p.held >= p.budget && !p.dropOneIdle() {
-		p.log.Warn("no descriptor left for engines", "held", p.held)
-		p.loop.After(0, func() {
+	dial := func() {
+		p.held++
+		ctx, cancel := context.WithCancel(context.Background())
+		stop = func() { stopped = true; cancel() }
+		go func() {
+			nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+			cancel()
+			p.loop.Post(func() { p.dialed(engine, nc, err, user, &stopped, done) })
+		}()
+	}
+	if p.room(urgent) {
+		dial()
+	} else { // no fault of the engine: it waits until another attempt ends
+		if len(p.queue) == 0 {
+			p.log.Warn("attempts wait for a descriptor", "held", p.held)
+		}
+		p.queue = append(p.queue, func() {
 			if !stopped {
-				done(nil, errBudget)
+				dial()
 			}
 		})
-		return stop
 	}
-	p.held++
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		nc, err := p.dialer.DialContext(ctx, "tcp", addr)
-		cancel()
-		p.loop.Post(func() { p.dialed(engine, nc, err, user, &stopped, done) })
-	}()
-	return func() { stopped = true; cancel() }
+	return func() { stop() }
+}
+
+// room makes room for one more connection if it can. A few descriptors are kept for what gives attempts up.
+func (p *Pool) room(urgent bool) bool {
+	most := p.budget
+	if urgent {
+		most += urgentShare
+	}
+	return p.held < most || p.dropOneIdle()
+}
+
+// unhold gives a descriptor back, for the next that waits for one.
+func (p *Pool) unhold() {
+	p.held--
+	p.admit()
+}
+
+// admit lets those that wait have what room there is.
+func (p *Pool) admit() {
+	for len(p.queue) > 0 && p.room(false) {
+		next := p.queue[0]
+		p.queue = p.queue[1:]
+		next()
+	}
 }
 
 func (p *Pool) dialed(engine policy.EngineID, nc net.Conn, err error, user Handler, stopped *bool, done func(*Link, error)) {
 	if err != nil {
-		p.held--
+		p.unhold()
 		if !*stopped {
 			done(nil, err)
 		}
@@ -167,7 +203,7 @@
 	for _, list := range p.idle {
 		l := list[0]
 		p.unlist(l)
-		l.Drop()
+		l.drop()
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/netio/pool_test.go
@@ -0,0 +1,107 @@
+package netio
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"frostpier/policy"
+)
+
+// user takes a connection and hears nothing of it.
+type user struct{}
+
+func (user) Data([]byte)  {}
+func (user) Closed(error) {}
+
+func listener(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(io.Discard, nc)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func pool(t *testing.T, budget int) (*Loop, *Pool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	loop := NewLoop(time.Now())
+	go loop.Run(ctx)
+	return loop, NewPool(loop, slog.New(slog.NewTextHandler(io.Discard, nil)), time.Second, time.Minute, budget)
+}
+
+// Guards against taking want of descriptors for an engine that is down: seen on an overloaded day, where 512
+// connections were out, every further attempt counted as not connected, engines were shut out for that, and the
+// rest got all the load. An attempt now waits for one to end; what gives attempts up does not wait.
+func TestWantOfDescriptorsIsWaitedOut(t *testing.T) {
+	loop, p := pool(t, 1)
+	addr, got := listener(t), make(chan *Link, 3)
+	take := func(l *Link, err error) {
+		if err != nil {
+			t.Error(err)
+		}
+		got <- l
+	}
+	loop.Do(func() { p.Get(1, addr, false, false, user{}, take) })
+	first := <-got
+	loop.Do(func() {
+		p.Get(2, addr, false, false, user{}, take)
+		if p.held != 1 || len(p.queue) != 1 {
+			t.Errorf("%d held, %d wait", p.held, len(p.queue))
+		}
+		p.Get(1, addr, false, true, user{}, take)
+	})
+	urgent := <-got
+	if urgent.engine != 1 {
+		t.Fatal("the one that should wait came first")
+	}
+	loop.Do(func() { urgent.Drop(); first.Release() })
+	if second := <-got; second.engine != 2 {
+		t.Fatal("another came")
+	}
+	loop.Do(func() {
+		if p.held != 1 || len(p.queue) != 0 || len(p.idle) != 0 {
+			t.Errorf("%d held, %d wait, idle %v", p.held, len(p.queue), p.idle)
+		}
+	})
+}
+
+// Guards against one engine's connections serving another that took its address over: they go by name.
+func TestIdleConnectionsGoByEngine(t *testing.T) {
+	loop, p := pool(t, 8)
+	addr, got := listener(t), make(chan *Link, 1)
+	take := func(l *Link, _ error) { got <- l }
+	get := func(e policy.EngineID) *Link {
+		loop.Do(func() { p.Get(e, addr, false, false, user{}, take) })
+		return <-got
+	}
+	first := get(1)
+	loop.Do(first.Release)
+	if other := get(2); other == first {
+		t.Fatal("engine 2 got engine 1's connection")
+	}
+	if again := get(1); again != first {
+		t.Fatal("engine 1 did not get its idle connection")
+	}
+	loop.Do(first.Release)
+	loop.Do(func() {
+		if p.Forget(1); p.held != 1 || !first.closed {
+			t.Errorf("%d held after engine 1 has gone", p.held)
+		}
+	})
+}
