Fix a wait for a connection that ended in endless recursion; take direct writes back

Cause: Pool.Get returned func() { stop() } while stop was its named result, so the function called itself; it was called whenever an attempt was given up before its connection was there. Ruled out: the queue itself, which held its bound in the logs. TestWaitsCanBeEnded dies of the stack on the old line.

--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -27,7 +26,6 @@
 // Conn is a connection with a reader and a writer of its own.
 type Conn struct {
 	nc     net.Conn
-	raw    syscall.RawConn // nil where the connection has none
 	loop   *Loop
 	owner  Handler
 	limit  int // bytes that may wait to be written
@@ -46,9 +44,6 @@
 // NewConn starts reading and writing. It is called on the loop.
 func NewConn(loop *Loop, nc net.Conn, owner Handler, limit int) *Conn {
 	c := &Conn{nc: nc, loop: loop, owner: owner, limit: limit, wake: make(chan struct{}, 1), resume: make(chan struct{}, 1)}
-	if sc, ok := nc.(syscall.Conn); ok {
-		c.raw, _ = sc.SyscallConn()
-	}
 	go c.read()
 	go c.write()
 	return c
@@ -135,13 +130,6 @@
 		return
 	}
 	c.mu.Lock()
-	if c.waiting == 0 {
-		b = c.writeNow(b)
-	}
-	if len(b) == 0 {
-		c.mu.Unlock()
-		return
-	}
 	c.pending = append(c.pending, b)
 	c.waiting += len(b)
 	over := c.waiting > c.limit
@@ -153,22 +141,6 @@
 	c.signal()
 }
 
-// writeNow writes what the socket takes without waiting, and returns the rest. It must be called while nothing
-// waits: then the writer does not hold the socket. It spares a change of goroutine for nearly every message.
-func (c *Conn) writeNow(b []byte) []byte {
-	if c.raw == nil {
-		return b
-	}
-	n := 0
-	if err := c.raw.Write(func(fd uintptr) bool {
-		n, _ = syscall.Write(int(fd), b) // what is wrong with the socket the writer finds out
-		return true
-	}); err != nil || n <= 0 {
-		return b
-	}
-	return b[n:]
-}
-
 // Waiting is how many bytes wait to be written.
 func (c *Conn) Waiting() int {
 	c.mu.Lock()
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -113,9 +113,9 @@
 
 // Get brings a connection for user: an idle one at once, unless fresh, or a new one. The returned function ends
 // the wait. done runs on the loop, never before Get returns.
-func (p *Pool) Get(engine policy.EngineID, addr string, fresh, urgent bool, user Handler, done func(*Link, error)) (stop func()) {
+func (p *Pool) Get(engine policy.EngineID, addr string, fresh, urgent bool, user Handler, done func(*Link, error)) func() {
 	stopped := false
-	stop = func() { stopped = true }
+	end := func() { stopped = true } // what ends the wait changes as it goes on
 	if list := p.idle[engine]; len(list) > 0 && !fresh {
 		l := list[len(list)-1] // the last used is the least likely to be stale
 		p.unlist(l)
@@ -125,18 +125,17 @@
 			case stopped && !l.closed:
 				l.Release()
 			case !stopped && l.closed: // the engine closed it meanwhile, which says nothing against the engine
-				again := p.Get(engine, addr, true, urgent, user, done)
-				stop = again
+				end = p.Get(engine, addr, true, urgent, user, done)
 			case !stopped:
 				done(l, nil)
 			}
 		})
-		return func() { stop() }
+		return func() { end() }
 	}
 	dial := func() {
 		p.held++
 		ctx, cancel := context.WithCancel(context.Background())
-		stop = func() { stopped = true; cancel() }
+		end = func() { stopped = true; cancel() }
 		go func() {
 			nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 			cancel()
@@ -155,7 +154,7 @@
 			}
 		})
 	}
-	return func() { stop() }
+	return func() { end() }
 }
 
 // room makes room for one more connection if it can. A few descriptors are kept for what gives attempts up.
--- a/internal/netio/pool_test.go
+++ b/internal/netio/pool_test.go
@@ -105,3 +105,23 @@
 		}
 	})
 }
+
+// Guards against a wait that cannot be ended: the function that ends it once called itself without end, and the
+// program died of its stack on the first overloaded day on which an attempt was given up while it waited.
+func TestWaitsCanBeEnded(t *testing.T) {
+	loop, p := pool(t, 1)
+	addr, got := listener(t), make(chan *Link, 4)
+	take := func(l *Link, _ error) { got <- l }
+	loop.Do(func() { p.Get(1, addr, false, false, user{}, take) })
+	first := <-got
+	loop.Do(func() {
+		p.Get(2, addr, false, false, user{}, take)() // in the queue
+		first.Release()
+	})
+	loop.Do(func() { p.Get(1, addr, false, false, user{}, take)() }) // an idle one
+	loop.Do(func() { p.Get(3, addr, true, false, user{}, take)() })  // a dial
+	loop.Do(func() { p.Get(1, addr, false, false, user{}, take) })
+	if last := <-got; last.engine != 1 {
+		t.Fatalf("engine %d answers a wait that was ended", last.engine)
+	}
+}
