--- a/cmd/frostpier/run.go
+++ b/cmd/frostpier/run.go
@@ -87,6 +87,7 @@
 	p.cancel = cancel
 	go loop.Run(ctx)
 	loop.Do(func() {
+		loop.WatchLag()
 		for _, e := range known {
 			gateway.Roster(e.Whole, e.Lines)
 		}
@@ -178,7 +179,7 @@
 func (p *program) stats() {
 	p.loop.After(statsEvery, func() {
 		c := p.gateway.Core
-		p.log.Info("counts", "total", c.Counts(), "open", c.Open(), "out", c.Out(), "invariants", p.keep.Broken())
+		p.log.Info("counts", "total", c.Counts(), "open", c.Open(), "out", c.Out(), "lag", p.loop.Lag(), "invariants", p.keep.Broken())
 		p.stats()
 	})
 }
--- a/internal/netio/gateway.go
+++ b/internal/netio/gateway.go
@@ -46,8 +46,22 @@
 	return &Gateway{Loop: loop, Core: c, Pool: pool, Pools: []*Pool{pool}, Log: log, calls: map[core.ID]*call{}}
 }
 
+// Margins of a client's time.
+const (
+	leastMargin = 60 * time.Millisecond
+	mostMargin  = 0.25 // of the time that a client gives
+)
+
+// withinReach is what is left of a client's time for the core to use, where this process gets its turn late: by
+// that much a request may have waited to be read, and by as much its answer may wait to be written. An answer that
+// comes too late for this reason is a request lost, however early the core decided on it.
+func withinReach(remaining, lag time.Duration) time.Duration {
+	return remaining - min(leastMargin+2*lag, time.Duration(mostMargin*float64(remaining)))
+}
+
 // Take hands a request to the core.
 func (g *Gateway) Take(ask core.Ask, caller Caller, numbered func(core.ID)) {
+	ask.Remaining = withinReach(ask.Remaining, g.Loop.Lag())
 	id, actions := g.Core.Take(g.Loop.Now(), ask)
 	g.calls[id] = &call{caller: caller}
 	numbered(id)
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -13,6 +13,7 @@
 	done  chan struct{}
 	start time.Time
 	base  time.Duration
+	lag   time.Duration // how late work has lately been done: the worst, fading
 }
 
 // NewLoop makes a Loop. Its clock is the Unix clock at its start, advanced by the steady one: it never goes back.
@@ -24,6 +25,23 @@
 // Now is the time since the Unix epoch.
 func (l *Loop) Now() time.Duration { return l.base + time.Since(l.start) }
 
+const (
+	lagEvery = 50 * time.Millisecond // between two looks at how late the loop is
+	lagFade  = 0.97                  // of the worst a look: a half in a second
+)
+
+// WatchLag measures from now on how late the loop is. It is called on the loop.
+func (l *Loop) WatchLag() {
+	due := l.Now() + lagEvery
+	l.After(lagEvery, func() {
+		l.lag = max(l.Now()-due, time.Duration(float64(l.lag)*lagFade))
+		l.WatchLag()
+	})
+}
+
+// Lag is how late work has lately been done at the worst.
+func (l *Loop) Lag() time.Duration { return l.lag }
+
 // Run works until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"time"
 
 	"frostpier/policy"
@@ -24,8 +25,18 @@
 	idleFor time.Duration
 	budget  int // connections, dials included
 	held    int
-	waited  int      // how often a descriptor had to be waited for
-	queue   []func() // waits for a descriptor
+	waited  int // how often a descriptor had to be waited for
+	queue   []*waiter
+}
+
+// waiter waits for a descriptor.
+type waiter struct {
+	engine  policy.EngineID
+	fresh   bool
+	stopped *bool
+	user    Handler
+	dial    func()
+	done    func(*Link, error)
 }
 
 // Link is a connection to an engine, owned by one call at a time or idle in the pool.
@@ -83,13 +94,40 @@
 	if l.closed {
 		return
 	}
-	l.user = nil
 	l.Resume()
+	if l.pool.handOver(l) {
+		return
+	}
+	l.user = nil
 	l.timer = l.pool.loop.After(l.pool.idleFor, func() { l.pool.unlist(l); l.Drop() })
 	l.pool.idle[l.engine] = append(l.pool.idle[l.engine], l)
 	l.pool.admit()
 }
 
+// handOver gives a connection that has become free to the first that waits for one to the same engine. Without it
+// every one was closed to make room for a dial: seen on an overloaded day, with three connections made for one needed.
+func (p *Pool) handOver(l *Link) bool {
+	for i, w := range p.queue {
+		if w.engine != l.engine || w.fresh || *w.stopped {
+			continue
+		}
+		p.queue = slices.Delete(p.queue, i, i+1)
+		l.user = w.user
+		p.loop.After(0, func() {
+			switch {
+			case *w.stopped:
+				l.Release()
+			case l.closed:
+				w.dial() // the engine closed it meanwhile
+			default:
+				w.done(l, nil)
+			}
+		})
+		return true
+	}
+	return false
+}
+
 func (p *Pool) unlist(l *Link) {
 	l.timer.Stop()
 	list := p.idle[l.engine]
@@ -148,11 +186,7 @@
 		if len(p.queue) == 0 {
 			p.log.Warn("attempts wait for a descriptor", "held", p.held)
 		}
-		p.queue = append(p.queue, func() {
-			if !stopped {
-				dial()
-			}
-		})
+		p.queue = append(p.queue, &waiter{engine, fresh, &stopped, user, dial, done})
 	}
 	return func() { end() }
 }
@@ -174,10 +208,15 @@
 
 // admit lets those that wait have what room there is.
 func (p *Pool) admit() {
-	for len(p.queue) > 0 && p.room(false) {
+	for len(p.queue) > 0 {
 		next := p.queue[0]
+		if !*next.stopped && !p.room(false) {
+			return
+		}
 		p.queue = p.queue[1:]
-		next()
+		if !*next.stopped {
+			next.dial()
+		}
 	}
 }
 
--- a/internal/netio/pool_test.go
+++ b/internal/netio/pool_test.go
@@ -125,3 +125,24 @@
 		t.Fatalf("engine %d answers a wait that was ended", last.engine)
 	}
 }
+
+// Guards against closing a free connection to make room for a dial to the same engine.
+func TestFreeConnectionGoesToTheNextThatWaits(t *testing.T) {
+	loop, p := pool(t, 1)
+	addr, got := listener(t), make(chan *Link, 2)
+	take := func(l *Link, _ error) { got <- l }
+	loop.Do(func() { p.Get(1, addr, false, false, user{}, take) })
+	first := <-got
+	loop.Do(func() {
+		p.Get(2, addr, false, false, user{}, take)
+		p.Get(1, addr, false, false, user{}, take)
+		first.Release()
+	})
+	if next := <-got; next != first {
+		t.Fatal("another connection was made")
+	}
+	loop.Do(first.Release) // nobody waits for this engine any more: the other's turn
+	if other := <-got; other.engine != 2 {
+		t.Fatal("the other still waits")
+	}
+}
