Bound what waits on all connections together; forget engines long gone

Seen on reading the code for buffers: one client may have 4 MB of answers waiting, and 409 clients more than the 192 MB there are; nothing bounded their sum. Now 48 MB in all, above which a connection with over 64 KB waiting is cut off; tests for one and for all. Core.engines kept every engine ever listed; now for 10 minutes after it went.

--- a/cmd/frostpier/httpengine_test.go
+++ b/cmd/frostpier/httpengine_test.go
@@ -33,21 +33,8 @@
 
 func newHTTPEngine(t *testing.T) *httpEngine {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	e := &httpEngine{ln: ln, gone: map[string]bool{}, out: map[string]int{}}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(nc)
-		}
-	}()
+	e := &httpEngine{gone: map[string]bool{}, out: map[string]int{}}
+	e.ln = standIn(t, e.serve)
 	return e
 }
 
--- a/cmd/frostpier/mysqlengine_test.go
+++ b/cmd/frostpier/mysqlengine_test.go
@@ -105,21 +105,8 @@
 
 func newSQLEngine(t *testing.T, name string, led *ledger) *sqlEngine {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	e := &sqlEngine{name: name, ln: ln, led: led, live: map[uint32]chan struct{}{}}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(nc)
-		}
-	}()
+	e := &sqlEngine{name: name, led: led, live: map[uint32]chan struct{}{}}
+	e.ln = standIn(t, e.serve)
 	return e
 }
 
--- a/cmd/frostpier/program_test.go
+++ b/cmd/frostpier/program_test.go
@@ -158,13 +158,19 @@
 }
 
 func newFeed(t *testing.T, engines ...listed) *feed {
+	t.Helper()
+	f := &feed{events: []map[string]any{event(1, engines)}}
+	f.ln = standIn(t, f.serve)
+	return f
+}
+
+// standIn listens on a free port and has every connection served.
+func standIn(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &feed{ln: ln}
-	f.events = append(f.events, event(1, engines))
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -172,10 +178,10 @@
 			if err != nil {
 				return
 			}
-			go f.serve(nc)
+			go serve(nc)
 		}
 	}()
-	return f
+	return ln
 }
 
 func event(no int, engines []listed) map[string]any {
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +56,19 @@
 	})
 }
 
+// A restart knows only what its configuration holds: changes and a new whole list among it.
+func TestKnownHoldsChangesAndResets(t *testing.T) {
+	s := &Stream{}
+	reset := strings.Replace(line(3, "in_service"), `"reset":false`, `"reset":true`, 1)
+	events, err := s.Known([]byte(`{"no":3,"items":[` + line(1, "in_service") + "," + line(2, "terminating") + "," + reset + `]}`))
+	if err != nil || len(events) != 3 || !events[0].Whole || events[1].Whole || !events[2].Whole {
+		t.Fatalf("%+v, %v", events, err)
+	}
+	if string(s.Ask()) != "after 3\n" {
+		t.Fatalf("asks %q", s.Ask())
+	}
+}
+
 // Guards against a change of the list that is never asked for: what cannot be used does not count as had.
 func TestBadLinesAreAskedForAgain(t *testing.T) {
 	for _, text := range []string{"nonsense", "{}", line(4, "in_service"), "5", `{"no":7}`, line(2, "asleep"), `{"no":"x"}`} {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -197,7 +197,8 @@
 	}
 	a := r.attempts[n]
 	left := min(r.end, a.started+a.timeout) - now
-	if a.over || r.replied || left <= 0 || c.engines[a.engine].Health != policy.Ready {
+	e := c.engines[a.engine]
+	if a.over || r.replied || left <= 0 || e == nil || e.Health != policy.Ready {
 		return 0, false
 	}
 	for i, other := range r.attempts {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -147,6 +147,16 @@
 	}
 }
 
+// Guards against a list that grows with every deploy.
+func TestEnginesLongGoneAreForgotten(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Gone), engineLine("b", policy.Ready)})
+	c.Roster(start+goneFor+time.Second, false, []Line{engineLine("b", policy.Ready)})
+	if len(c.engines) != 1 {
+		t.Fatalf("%d engines are known", len(c.engines))
+	}
+}
+
 func TestTableGroup(t *testing.T) {
 	for statement, want := range map[string]int{
 		"SELECT * FROM sales_17.orders":                                       17,
--- a/internal/core/engines.go
+++ b/internal/core/engines.go
@@ -14,8 +14,12 @@
 	Name   string // its name in the list, the same after a restart of its process
 	Addr   string
 	Health policy.Health
+	told   time.Duration // when the list last told of it
 }
 
+// goneFor is how long an engine that has gone stays known: longer than any attempt there.
+const goneFor = 10 * time.Minute
+
 // Line is one engine as a list tells of it.
 type Line struct {
 	Name, Addr, Zone, Kind string
@@ -33,7 +37,7 @@
 		for id, e := range c.engines {
 			named := slices.ContainsFunc(lines, func(l Line) bool { return engineID(l.Name) == id })
 			if !named && e.Health != policy.Gone {
-				e.Health = policy.Gone
+				e.Health, e.told = policy.Gone, now
 				gone = append(gone, *e)
 			}
 		}
@@ -48,10 +52,15 @@
 		if l.Health == policy.Gone && e.Health != policy.Gone || e.Addr != "" && e.Addr != l.Addr {
 			gone = append(gone, *e) // connections to the old process or address are of no more use
 		}
-		e.Addr, e.Health = l.Addr, l.Health
+		e.Addr, e.Health, e.told = l.Addr, l.Health, now
 		list.Engines = append(list.Engines, policy.EngineInfo{ID: id, Zone: place(c.host.Zones, l.Zone),
 			Kind: place(c.host.Models, l.Kind), Cell: l.Cell, Health: l.Health, Scale: l.Weight, Started: l.Started})
 	}
+	for id, e := range c.engines {
+		if e.Health == policy.Gone && now-e.told > goneFor {
+			delete(c.engines, id)
+		}
+	}
 	return gone, c.tell(now, list)
 }
 
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	readSize  = 8 << 10
-	writeWait = 10 * time.Second // a peer that takes nothing for so long is gone
+	readSize    = 8 << 10
+	allWaiting  = 48 << 20         // bytes that may wait on all connections together: a quarter of the memory
+	fairWaiting = 64 << 10         // and above that on one, if it is not to be cut off
+	writeWait   = 10 * time.Second // a peer that takes nothing for so long is gone
 )
 
 // Conn is a connection with a reader and a writer of its own.
@@ -36,6 +38,7 @@
 	waiting int
 	ending  bool // close when all is written
 	wake    chan struct{}
+	cut     bool // closed with bytes unwritten
 	paused  bool
 	resume  chan struct{}
 	drained func() // runs on the loop when all has been written
@@ -105,13 +108,18 @@
 		if size > 0 {
 			c.nc.SetWriteDeadline(time.Now().Add(writeWait))
 			if _, err := bufs.WriteTo(c.nc); err != nil {
-				c.nc.Close()
-				c.loop.Post(func() { c.lost(err) })
+				c.loop.Post(func() {
+					c.lost(err)
+					c.close() // one that was to end when all is written is not told, but its bytes count no more
+				})
 				return
 			}
 		}
 		c.mu.Lock()
-		c.waiting -= size
+		if !c.cut {
+			c.waiting -= size
+			c.loop.waiting.Add(-int64(size))
+		}
 		empty, tell := c.waiting == 0, c.drained
 		c.mu.Unlock()
 		if empty && ending {
@@ -132,7 +140,8 @@
 	c.mu.Lock()
 	c.pending = append(c.pending, b)
 	c.waiting += len(b)
-	over := c.waiting > c.limit
+	all := c.loop.waiting.Add(int64(len(b)))
+	over := c.waiting > c.limit || all > allWaiting && c.waiting > fairWaiting
 	c.mu.Unlock()
 	if over {
 		c.loop.After(0, func() { c.lost(errSlow) })
@@ -205,7 +214,8 @@
 	c.nc.Close()
 	c.Resume()
 	c.mu.Lock()
-	c.ending, c.pending, c.waiting = true, nil, 0
+	c.loop.waiting.Add(-int64(c.waiting))
+	c.ending, c.pending, c.waiting, c.cut = true, nil, 0, true
 	c.mu.Unlock()
 	c.signal()
 }
--- /dev/null
+++ b/internal/netio/conn_test.go
@@ -0,0 +1,48 @@
+package netio
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// heard is a handler that tells when its connection has ended.
+type heard struct{ closed chan error }
+
+func (h heard) Data([]byte)      {}
+func (h heard) Closed(err error) { h.closed <- err }
+
+// Guards against clients that read nothing: what waits for one of them, and for all together, has a bound.
+func TestPeersThatReadNothingAreCutOff(t *testing.T) {
+	for name, limit := range map[string]int{"one": 1 << 20, "all": allWaiting * 2} {
+		loop, _ := pool(t, 1)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		nc, err := net.Dial("tcp", ln.Addr().String()) // accepted by nobody: nothing is read
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := heard{make(chan error, 1)}
+		var c *Conn
+		loop.Do(func() { c = NewConn(loop, nc, h, limit) })
+		for sent := 0; sent < 2*allWaiting && len(h.closed) == 0; sent += 1 << 20 {
+			loop.Do(func() { c.Write(make([]byte, 1<<20)) })
+		}
+		select {
+		case err := <-h.closed:
+			if err != errSlow {
+				t.Errorf("%s: ended with %v", name, err)
+			}
+		case <-time.After(20 * time.Second):
+			t.Errorf("%s: not cut off", name)
+		}
+		loop.Do(func() {
+			if n := loop.waiting.Load(); n != 0 || c.Waiting() != 0 {
+				t.Errorf("%s: %d bytes still count", name, n)
+			}
+		})
+	}
+}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -4,16 +4,18 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
 // Loop runs what is handed to it, one after the other.
 type Loop struct {
-	work  chan func()
-	done  chan struct{}
-	start time.Time
-	base  time.Duration
-	lag   time.Duration // how late work has lately been done: the worst, fading
+	work    chan func()
+	done    chan struct{}
+	start   time.Time
+	base    time.Duration
+	waiting atomic.Int64  // bytes to be written, over all connections
+	lag     time.Duration // how late work has lately been done: the worst, fading
 }
 
 // NewLoop makes a Loop. Its clock is the Unix clock at its start, advanced by the steady one: it never goes back.
