Close MySQL connections that do not log in within 10 s

Seen on reading: a client that connects and says nothing held one of the front's descriptors for good. A timer of its own now ends the wait; TestMySQLClientThatDoesNotLogInIsClosed.

--- a/internal/netio/mysqlfront.go
+++ b/internal/netio/mysqlfront.go
@@ -13,6 +13,7 @@
 
 const (
 	relayAhead = 256 << 10 // bytes of an answer that wait for its client before the engine's side is not read on
+	loginWait  = 10 * time.Second
 	mysqlQueue = relayAhead + 2<<20
 )
 
@@ -37,11 +38,13 @@
 	open    map[*mysqlClient]bool
 	threads uint32
 	again   *Timer
+	patient time.Duration // how long a client may take to log in
 }
 
 // NewMySQLFront makes the front; pool is for its connections to engines alone.
 func NewMySQLFront(g *Gateway, pool *Pool, log *slog.Logger, setup MySQLSetup) *MySQLFront {
-	return &MySQLFront{gateway: g, pool: pool, log: log, setup: setup, open: map[*mysqlClient]bool{}}
+	return &MySQLFront{gateway: g, pool: pool, log: log, setup: setup, open: map[*mysqlClient]bool{},
+		patient: loginWait}
 }
 
 // Listen opens the listener; it is called on the loop. A second call while it is open does nothing.
@@ -103,6 +106,12 @@
 	c.conn = NewConn(f.gateway.Loop, nc, c, mysqlQueue)
 	c.conn.OnDrained(c.drained)
 	c.conn.Write(greeting)
+	c.login = f.gateway.Loop.After(f.patient, func() {
+		if !machine.LoggedIn() {
+			f.log.Warn("mysql client did not log in")
+			c.end()
+		}
+	})
 }
 
 // scramble is 20 bytes of chance, none of them zero or a dollar sign, as clients expect.
@@ -135,6 +144,7 @@
 	call    *mysql.Call // the query that runs
 	id      core.ID
 	flight  *flight
+	login   *Timer
 	held    bool // the engine's side is not read, as the client is behind
 }
 
@@ -143,6 +153,7 @@
 
 // Closed calls off what runs.
 func (c *mysqlClient) Closed(error) {
+	c.login.Stop()
 	delete(c.front.open, c)
 	c.leave()
 }
@@ -155,6 +166,7 @@
 }
 
 func (c *mysqlClient) end() {
+	c.login.Stop()
 	c.conn.Finish()
 	delete(c.front.open, c)
 	c.leave()
