Read the configuration again on SIGHUP and follow the bulletin that it names

Checked: main.go installed a handler for SIGTERM and os.Interrupt only, so the signal's default action ended the program (129 = 128 + SIGHUP). Ruled out: a panic or a limit (nothing in the log, memory 10 of 64 MB). At fault: cmd/frostpier/main.go (no SIGHUP), netio.Feed (its address was fixed, and a dial or a wait under way could not be left, so a second feed would have run beside it). Changed: run reads the file again on each SIGHUP, Feed.Follow leaves dial, wait or connection before it follows the new address behind the last event; a file that cannot be read or names no bulletin is logged and changes nothing. Known events of the file count from the last one on. Silence of the bulletin is noticed after 2.5 s (was 3.5; told counts 4 s after a stop), and only whole lines break it.

--- a/cmd/frostpier/main.go
+++ b/cmd/frostpier/main.go
@@ -19,7 +19,9 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(term, log); err != nil {
+	hup := make(chan os.Signal, 1) // without it SIGHUP would end the program
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := run(term, hup, log); err != nil {
 		log.Error("cannot serve", "error", err)
 		fmt.Fprintln(os.Stderr, "frostpier:", err)
 		os.Exit(1)
--- a/cmd/frostpier/platform_test.go
+++ b/cmd/frostpier/platform_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -217,3 +218,36 @@
 	c.ask(1, "lookup", "x", 3000, "")
 	c.served(1, "a\tb\tc\n")
 }
+
+// Guards against SIGHUP ending the program, as it does where nobody handles it, and against a feed left behind: the
+// program reads the configuration again, follows the bulletin that it names now from the last event on, and goes on
+// serving. A file that cannot be read changes nothing.
+func TestReloadFollowsTheNewBulletin(t *testing.T) {
+	e := newHTTPEngine(t)
+	n := startNode(t, "", inService("e1", "127.0.0.1:1"))
+	waitFor(t, "the bulletin's client", func() bool { return n.feed.connected() == 1 })
+	c := dialRPC(t, n)
+	old := n.feed
+	n.feed.tell(listed{"e1", "127.0.0.1:1", "z", "m", "terminated"})
+	if err := os.WriteFile(n.file, []byte(`{"bulletin":`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.cmd.Process.Signal(syscall.SIGHUP)
+	n.waitLog("the old one stays")
+
+	next := newFeed(t, inService("e1", "127.0.0.1:1"))
+	next.events = append(next.events, event(2, []listed{{"e1", "127.0.0.1:1", "z", "m", "terminated"}}))
+	n.conf["bulletin"] = next.ln.Addr().String()
+	n.writeConf()
+	n.cmd.Process.Signal(syscall.SIGHUP)
+	waitFor(t, "the new bulletin's client", func() bool { return next.connected() == 1 })
+	if next.asked[0] != "after 2" {
+		t.Fatalf("asked %q", next.asked[0])
+	}
+	next.tell(inService("e2", e.addr()))
+	c.ask(1, "lookup", "x", 3000, "")
+	c.served(1, "a\tb\tc\n")
+	if _, err := old.conns[0].Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the old bulletin's connection: %v", err)
+	}
+}
--- a/cmd/frostpier/program_test.go
+++ b/cmd/frostpier/program_test.go
@@ -29,7 +29,9 @@
 	}
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	if err := run(term, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))); err != nil {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := run(term, hup, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -42,6 +44,8 @@
 	listen string
 	log    *lines
 	feed   *feed
+	file   string         // the configuration
+	conf   map[string]any // and what it holds
 }
 
 // lines keeps what a process prints.
@@ -87,17 +91,13 @@
 	t.Helper()
 	n := &node{t: t, listen: freePort(t), log: &lines{}, feed: newFeed(t, engines...)}
 	dir := t.TempDir()
-	conf, err := json.Marshal(map[string]any{"name": "n0", "listen": n.listen, "seed": "8c1f30d27a5be964",
+	n.file = filepath.Join(dir, "config.json")
+	n.conf = map[string]any{"name": "n0", "listen": n.listen, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"bulletin": n.feed.ln.Addr().String(), "settings": json.RawMessage(testSettings),
-		"known": map[string]any{"no": 1, "items": []any{n.feed.events[0]}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	env := append(os.Environ(), "FROSTPIER_AS_PROGRAM=1", "GW_CONFIG="+filepath.Join(dir, "config.json"), "GW_LISTEN="+n.listen)
-	if err := os.WriteFile(filepath.Join(dir, "config.json"), conf, 0o600); err != nil {
-		t.Fatal(err)
-	}
+		"known": map[string]any{"no": 1, "items": []any{n.feed.events[0]}}}
+	n.writeConf()
+	env := append(os.Environ(), "FROSTPIER_AS_PROGRAM=1", "GW_CONFIG="+n.file, "GW_LISTEN="+n.listen)
 	if operator != "" {
 		if err := os.WriteFile(filepath.Join(dir, "operator.toml"), []byte(operator), 0o600); err != nil {
 			t.Fatal(err)
@@ -123,6 +123,17 @@
 	return n
 }
 
+func (n *node) writeConf() {
+	n.t.Helper()
+	text, err := json.Marshal(n.conf)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	if err := os.WriteFile(n.file, text, 0o600); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
 func (n *node) waitLog(text string) {
 	n.t.Helper()
 	waitFor(n.t, "log line "+text, func() bool { return strings.Contains(n.log.String(), text) })
--- a/cmd/frostpier/run.go
+++ b/cmd/frostpier/run.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -27,13 +29,9 @@
 	statsEvery = 10 * time.Second
 )
 
-// run serves until term ends and what was taken is answered.
-func run(term context.Context, log *slog.Logger) error {
-	text, err := os.ReadFile(os.Getenv("GW_CONFIG"))
-	if err != nil {
-		return fmt.Errorf("GW_CONFIG: %w", err)
-	}
-	conf, err := settings.ParseConfig(text)
+// run serves until term ends and what was taken is answered; with each hup it reads the configuration again.
+func run(term context.Context, hup <-chan os.Signal, log *slog.Logger) error {
+	conf, err := readConfig()
 	if err != nil {
 		return err
 	}
@@ -67,7 +65,8 @@
 		log.Warn("known events not all used", "error", err)
 	}
 	clients := netio.NewClients(gateway, log, shares.clients)
-	p := &program{loop: loop, gateway: gateway, clients: clients, keep: keep, log: log}
+	p := &program{loop: loop, gateway: gateway, clients: clients, keep: keep, log: log, stream: stream,
+		feed: netio.NewFeed(gateway, log, conf.Bulletin, stream)}
 	if m := operator.MySQL; m != nil {
 		setup, err := mysqlSetup(m, heart, shares.mysqlClients)
 		if err != nil {
@@ -91,9 +90,7 @@
 		for _, e := range known {
 			gateway.Roster(e.Whole, e.Lines)
 		}
-		if conf.Bulletin != "" {
-			netio.NewFeed(gateway, log, conf.Bulletin, stream).Connect()
-		}
+		p.feed.Follow(conf.Bulletin)
 		p.stats()
 	})
 	if err := clients.Serve(conf.Listen); err != nil {
@@ -103,10 +100,14 @@
 		return err
 	}
 	log.Info("serving", "name", conf.Name, "listen", conf.Listen, "bulletin", conf.Bulletin, "events", len(known))
-	select {
-	case <-term.Done():
-		loop.Do(p.drain)
-	case <-ctx.Done():
+	for serving := true; serving; {
+		select {
+		case <-hup:
+			p.reload(conf)
+		case <-term.Done():
+			loop.Do(p.drain)
+			serving = false
+		}
 	}
 	<-ctx.Done()
 	log.Info("stopped", "counts", heart.Counts(), "invariants", keep.Broken())
@@ -122,9 +123,52 @@
 	standby *netio.Standby    // likewise
 	keep    *invariant.Keeper
 	log     *slog.Logger
+	stream  *bulletin.Stream
+	feed    *netio.Feed
 	cancel  func()
 }
 
+var errNoBulletin = errors.New("it names no bulletin")
+
+// readConfig reads the configuration that the platform hands out.
+func readConfig() (settings.Config, error) {
+	text, err := os.ReadFile(os.Getenv("GW_CONFIG"))
+	if err != nil {
+		return settings.Config{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	return settings.ParseConfig(text)
+}
+
+// reload is what SIGHUP asks for: the bulletin of the new configuration is followed from the last event on, and all
+// else goes on. What else has changed in it holds from the next start. One that cannot be read changes nothing.
+func (p *program) reload(old settings.Config) {
+	conf, err := readConfig()
+	if err == nil && conf.Bulletin == "" && old.Bulletin != "" {
+		err = errNoBulletin
+	}
+	if err != nil {
+		p.log.Error("configuration not read again, the old one stays", "error", err)
+		return
+	}
+	if conf.Listen != old.Listen && os.Getenv("GW_LISTEN") == "" || conf.Limits != old.Limits ||
+		!bytes.Equal(conf.Settings, old.Settings) {
+		p.log.Warn("configuration read again: listen, limits and settings hold from the next start")
+	}
+	events := 0
+	p.loop.Do(func() {
+		known, err := p.stream.Known(conf.Known)
+		if err != nil {
+			p.log.Warn("known events not all used", "error", err)
+		}
+		for _, e := range known {
+			p.gateway.Roster(e.Whole, e.Lines)
+		}
+		events = len(known)
+		p.feed.Follow(conf.Bulletin)
+	})
+	p.log.Info("configuration read again", "bulletin", conf.Bulletin, "events", events)
+}
+
 // shares divides the descriptors; what is left over is for listeners, the bulletin and the like.
 type shares struct{ clients, engines, mysqlClients, mysqlEngines int }
 
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -52,10 +52,16 @@
 	last int64
 	buf  []byte
 	skip bool // no line of this connection is of use any more
+	read int  // lines
 }
 
-// Known takes in the events of the start.
+// Lines is how many whole lines have come.
+func (s *Stream) Lines() int { return s.read }
+
+// Known takes in the events that a configuration holds: at the start all of them, the first as the whole list; when
+// it is read again only those that follow on the last one. What it leaves out the bulletin tells.
 func (s *Stream) Known(text []byte) ([]Event, error) {
+	again := s.last > 0
 	var known struct {
 		No    int64             `json:"no"`
 		Items []json.RawMessage `json:"items"`
@@ -76,6 +82,9 @@
 			out = append(out, *ev)
 		}
 	}
+	if again {
+		return out, nil
+	}
 	if len(out) > 0 {
 		out[0].Whole = true
 	}
@@ -107,6 +116,7 @@
 		}
 		ev, err := s.line(bytes.TrimSpace(s.buf[:end]))
 		s.buf = s.buf[end+1:]
+		s.read++
 		if err != nil {
 			s.skip = true
 			return out, err
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -93,3 +93,20 @@
 		s.Known(rapid.SliceOf(rapid.Byte()).Draw(rt, "known"))
 	})
 }
+
+// Guards against events lost or taken for a whole list when the configuration is read again: only those that follow
+// on the last one count, and the number that the file names as its last skips none.
+func TestKnownAgain(t *testing.T) {
+	s := &Stream{}
+	if _, err := s.Known([]byte(`{"no":1,"items":[{"no":1,"roster":{"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"in_service"}]}}]}`)); err != nil {
+		t.Fatal(err)
+	}
+	second := `{"no":2,"roster":{"instances":[{"instanceId":"b","hostPort":"h:2","lifecycle":"in_service"}]}}`
+	events, err := s.Known([]byte(`{"no":9,"items":[{"no":1,"roster":{"instances":[]}},` + second + `]}`))
+	if err != nil || len(events) != 1 || events[0].No != 2 || events[0].Whole {
+		t.Fatalf("%+v, %v", events, err)
+	}
+	if ask := string(s.Ask()); ask != "after 2\n" {
+		t.Fatalf("asks %q", ask)
+	}
+}
--- a/internal/netio/feed.go
+++ b/internal/netio/feed.go
@@ -1,6 +1,7 @@
 package netio
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"time"
@@ -11,11 +12,11 @@
 const (
 	feedDial    = time.Second
 	feedAgain   = 200 * time.Millisecond
-	feedSilence = 3500 * time.Millisecond // the bulletin speaks every second
+	feedSilence = 2500 * time.Millisecond // the bulletin speaks every second; what it tells counts as told 4 s after a stop
 	feedQueue   = 1 << 10
 )
 
-// Feed follows the bulletin.
+// Feed follows the bulletin at one address at a time.
 type Feed struct {
 	gateway *Gateway
 	log     *slog.Logger
@@ -23,6 +24,8 @@
 	stream  *bulletin.Stream
 	conn    *Conn
 	silence *Timer
+	again   *Timer
+	undial  func() // gives up the dial under way
 }
 
 // NewFeed makes a Feed that goes on behind what the stream knows.
@@ -30,18 +33,56 @@
 	return &Feed{gateway: g, log: log, addr: addr, stream: stream}
 }
 
+// Follow leaves whatever it followed and follows the bulletin at addr, behind the last event that it has. It is
+// called on the loop.
+func (f *Feed) Follow(addr string) {
+	f.leave()
+	f.addr = addr
+	if addr != "" {
+		f.Connect()
+	}
+}
+
 // Connect dials and asks; it is called on the loop.
 func (f *Feed) Connect() {
+	f.leave()
+	ctx, cancel := context.WithTimeout(context.Background(), feedDial)
+	left := false // a dial that was given up may have come through meanwhile: two feeds would mix their lines
+	f.undial = func() { left = true; cancel() }
+	addr := f.addr
 	go func() {
-		nc, err := net.DialTimeout("tcp", f.addr, feedDial)
-		f.gateway.Loop.Post(func() { f.dialed(nc, err) })
+		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		cancel()
+		f.gateway.Loop.Post(func() {
+			switch {
+			case left && nc != nil:
+				nc.Close()
+			case !left:
+				f.dialed(nc, err)
+			}
+		})
 	}()
 }
 
+// leave ends the connection, or the dial or the wait for one.
+func (f *Feed) leave() {
+	f.silence.Stop()
+	f.again.Stop()
+	if f.undial != nil {
+		f.undial()
+		f.undial = nil
+	}
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+}
+
 func (f *Feed) dialed(nc net.Conn, err error) {
+	f.undial = nil
 	if err != nil {
 		f.log.Warn("bulletin not reached", "error", err)
-		f.gateway.Loop.After(feedAgain, f.Connect)
+		f.anew()
 		return
 	}
 	f.conn = NewConn(f.gateway.Loop, nc, f, feedQueue)
@@ -58,16 +99,19 @@
 	})
 }
 
-// Data takes events in.
+// Data takes events in. Only whole lines count as news: one that never ends is silence too.
 func (f *Feed) Data(b []byte) {
-	f.listen()
+	before := f.stream.Lines()
 	events, err := f.stream.Feed(b)
 	for _, e := range events {
 		f.gateway.Roster(e.Whole, e.Lines)
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		f.log.Warn("bulletin line not used", "error", err)
 		f.anew()
+	case f.stream.Lines() != before:
+		f.listen()
 	}
 }
 
@@ -78,7 +122,6 @@
 }
 
 func (f *Feed) anew() {
-	f.silence.Stop()
-	f.conn.Close()
-	f.gateway.Loop.After(feedAgain, f.Connect)
+	f.leave()
+	f.again = f.gateway.Loop.After(feedAgain, f.Connect)
 }
