--- a/internal/httpq/query.go
+++ b/internal/httpq/query.go
@@ -17,12 +17,12 @@
 	pollWait   = 250 * time.Millisecond
 	unasked    = 2 * time.Second
 	slack      = 250 * time.Millisecond
-	silentWait = 4 * pollWait
+	silentWait = 600 * time.Millisecond
 	lostWait   = pollWait + unasked + slack
 	againWait  = 150 * time.Millisecond
 	maxPages   = 64
 	maxResult  = 48000
-	pageTries  = 2
+	tries      = 3 // of a page, and of an answer that came spoilt
 )
 
 type state uint8
@@ -53,7 +53,7 @@
 	pages   [][]byte
 	size    int
 	total   int // pages
-	tries   int // of the present page
+	spoilt  int // answers in a row that could not be read
 	report  string
 	deletes int
 	steps   []attempt.Step
@@ -132,7 +132,13 @@
 func (q *Query) broken(lane attempt.Lane) {
 	switch {
 	case q.state == running && lane == attempt.Main:
-		q.do(attempt.Set{Alarm: attempt.Silence, After: 0}, attempt.Open{Lane: attempt.Main, Fresh: true}) // the query is tied to no connection: ask for it anew
+		// The query is tied to no connection: ask for it anew. An engine that breaks every one is not asked in a rush.
+		q.do(attempt.Set{Alarm: attempt.Silence, After: 0})
+		if q.spoilt++; q.spoilt > 1 {
+			q.do(attempt.Set{Alarm: attempt.Again, After: againWait})
+			return
+		}
+		q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
 	case q.state == paging:
 		q.pageLost()
 	case q.state == closing && lane == attempt.Side:
@@ -159,7 +165,6 @@
 		return q.flush()
 	}
 	if err != nil || res != nil {
-		q.drop(lane)
 		q.malformed(lane)
 	}
 	return q.flush()
@@ -178,8 +183,7 @@
 		q.drop(attempt.Main)
 		q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
 	case a == attempt.Silence && q.state == paging:
-		q.drop(attempt.Main)
-		q.pageLost()
+		q.malformed(attempt.Main)
 	case a == attempt.Again && q.state == running && !q.up[attempt.Main]:
 		q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
 	case a == attempt.Again && q.state == closing && !q.asked[attempt.Side]:
@@ -234,6 +238,7 @@
 	never := res.Head.Get("X-No-Effect") == "1"
 	switch {
 	case res.Status == 202:
+		q.spoilt = 0
 		q.note(res)
 		if q.state == closing { // no further poll: the engine gives it up by itself, if the DELETE fails
 			q.do(attempt.Set{Alarm: attempt.Lost, After: unasked + slack})
@@ -257,15 +262,22 @@
 	}
 }
 
-// malformed: an answer that cannot be read proves no end. The query is called off, and counts as failed.
+// malformed: an answer that cannot be read proves no end, and its connection is of no more use. The engine gives the
+// answer of a query that ended well again, so it is asked for on a new one; only if that comes spoilt time after time
+// is the query called off, and counts as failed.
 func (q *Query) malformed(lane attempt.Lane) {
+	q.drop(lane)
 	switch {
 	case lane == attempt.Side:
 		q.do(attempt.Set{Alarm: attempt.Again, After: againWait})
-	case q.state == running:
-		q.giveUp(policy.Error)
 	case q.state == paging:
-		q.end(policy.Error)
+		q.pageLost()
+	case q.state == running:
+		if q.spoilt++; q.spoilt >= tries {
+			q.giveUp(policy.Error)
+			return
+		}
+		q.do(attempt.Set{Alarm: attempt.Silence, After: 0}, attempt.Open{Lane: attempt.Main, Fresh: true})
 	}
 }
 
@@ -280,7 +292,7 @@
 
 func (q *Query) firstPage(res *Response) {
 	total, err := strconv.Atoi(res.Head.Get("Page-Count"))
-	if err != nil || total < 1 || total > maxPages {
+	if err != nil || total < 1 || total > maxPages || !wholeRows(res.Body) {
 		q.malformed(attempt.Main)
 		return
 	}
@@ -295,17 +307,20 @@
 
 func (q *Query) page(res *Response) {
 	switch number := res.Head.Get("Page-No"); {
-	case res.Status != 200:
+	case res.Status == 500:
 		q.end(policy.Error) // a page that the engine no longer knows
-	case number != strconv.Itoa(len(q.pages)):
-		q.end(policy.Error)
+	case res.Status != 200 || number != strconv.Itoa(len(q.pages)) || !wholeRows(res.Body):
+		q.malformed(attempt.Main)
 	default:
 		q.keepPage(res.Body)
 	}
 }
 
+// wholeRows tells whether a page holds whole rows, as every page does: one that does not was cut off.
+func wholeRows(page []byte) bool { return len(page) == 0 || page[len(page)-1] == '\n' }
+
 func (q *Query) keepPage(body []byte) {
-	q.pages, q.size, q.tries = append(q.pages, body), q.size+len(body), 0
+	q.pages, q.size, q.spoilt = append(q.pages, body), q.size+len(body), 0
 	switch {
 	case q.size > maxResult:
 		q.end(policy.Error)
@@ -318,13 +333,13 @@
 	}
 }
 
-// pageLost tries a page once more; a missing page makes the whole an error.
+// pageLost asks for a page again; a missing page makes the whole an error.
 func (q *Query) pageLost() {
-	if q.tries++; q.tries >= pageTries {
+	if q.spoilt++; q.spoilt >= tries {
 		q.end(policy.Error)
 		return
 	}
-	q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
+	q.do(attempt.Set{Alarm: attempt.Silence, After: 0}, attempt.Open{Lane: attempt.Main, Fresh: true})
 }
 
 // deleted takes the response to a DELETE: 204 confirms, anything else does not.
