Close no client connection whose first call or last answer is on its way

Planned restarts begin only at 6.5 s. Checked: with each connection's end logged, 2,000 to 3,600 a node ended for 'others came', 740 to 840 of them without a call, at a median age of 3 to 5 ms; first calls come up to 17 ms after connecting. Ruled out: the restarts, and too few descriptors for engines (no wait was logged). Changed: what makes room is ranked (missed), with a grace of 250 ms after connecting or an answer; a connection ends when its answers are written; clients have 2/5 of the descriptors, as some of the third that they count as closed are not closed here yet.

--- a/cmd/frostpier/run.go
+++ b/cmd/frostpier/run.go
@@ -195,7 +195,8 @@
 		s.mysqlEngines = s.engines
 		return s
 	}
-	return shares{clients: netio.Share{Most: sockets / 3}, engines: engineShare(sockets - sockets/3 - spare)}
+	clients := sockets * 2 / 5 // they hold a third at most, by their own count: some are closed there and not yet here
+	return shares{clients: netio.Share{Most: clients}, engines: engineShare(sockets - clients - spare)}
 }
 
 // engineShare keeps a sixth for what gives attempts up: else it would wait behind the very attempts.
--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	clientQueue = 4 << 20          // the answers of all calls that a connection may have open
-	clientIdle  = 30 * time.Second // clients close theirs after 4 s
-	askWait     = 2 * time.Second  // for the first call, and for a line's end: an end is owed within 3 s of connecting
-	fairLine    = 16 << 10         // of a line that is not whole, if all together fill what there is for them
+	clientQueue = 4 << 20                // the answers of all calls that a connection may have open
+	clientIdle  = 30 * time.Second       // clients close theirs after 4 s
+	askWait     = 2 * time.Second        // for the first call, and for a line's end: an end is owed within 3 s of connecting
+	callGrace   = 250 * time.Millisecond // in which a call may be on its way
+	fairLine    = 16 << 10               // of a line that is not whole, if all together fill what there is for them
 	acceptPause = 20 * time.Millisecond
 )
 
@@ -40,6 +41,7 @@
 	session *jsonrpc.Session
 	calls   map[string]core.ID
 	asked   bool // it has said something that got an answer, or will
+	called  bool // a call of it was taken
 	unread  int  // bytes of a line that is not whole
 	since   time.Duration
 	idle    *Timer
@@ -109,12 +111,14 @@
 	c.idle = f.gateway.Loop.After(f.patient, func() { c.end("it asked for nothing") })
 }
 
-// closeOneIdle makes room for a new connection: of those with nothing open the one that was quiet for longest goes,
-// and who never asked before who did. Connections that say nothing come by the hundreds.
+// closeOneIdle makes room for a new connection: of those with nothing open the one goes that is missed least, and
+// among equals the one that was quiet for longest.
 func (f *Clients) closeOneIdle() bool {
+	now := f.gateway.Loop.Now()
 	var next *client
 	for c := range f.open {
-		if len(c.calls) == 0 && (next == nil || next.asked && !c.asked || next.asked == c.asked && c.since < next.since) {
+		if len(c.calls) == 0 && (next == nil || c.missed(now) < next.missed(now) ||
+			c.missed(now) == next.missed(now) && c.since < next.since) {
 			next = c
 		}
 	}
@@ -125,6 +129,23 @@
 	return true
 }
 
+// missed ranks a connection with nothing open, from those that come by the hundreds and make no call to the one whose
+// first call is on its way: that would be lost.
+func (c *client) missed(now time.Duration) int {
+	quiet := now-c.since > callGrace
+	switch {
+	case quiet && !c.called:
+		return 0
+	case quiet:
+		return 1
+	case c.asked && !c.called: // it got the answer that it is owed
+		return 2
+	case c.called: // it can send its next call again on a new connection
+		return 3
+	}
+	return 4
+}
+
 // rest starts the wait of a connection that has asked and has no call open. One that has not has its first wait.
 func (c *client) rest() {
 	if !c.asked {
@@ -168,9 +189,10 @@
 	delete(c.front.open, c)
 }
 
+// end closes a connection once what has been answered is written: the last answer may still be on its way.
 func (c *client) end(why string) {
 	c.front.log.Debug("client connection ended", "why", why)
-	c.conn.Close()
+	c.conn.Finish()
 	c.forget()
 }
 
@@ -181,6 +203,7 @@
 		c.asked = c.asked || e.Call != nil || e.Ping != "" || e.Reply != nil
 		switch {
 		case e.Call != nil:
+			c.called = true
 			c.call(e.Call)
 		case e.Ping != "":
 			c.conn.Write(jsonrpc.Pong(e.Ping, c.front.serving))
--- a/internal/netio/clients_test.go
+++ b/internal/netio/clients_test.go
@@ -98,31 +98,59 @@
 	})
 }
 
-// Guards against connections by the hundreds that say nothing: they make room before one that has asked, oldest first.
-func TestSilentConnectionsMakeRoom(t *testing.T) {
-	f := front(t, 3, 1<<20, time.Hour)
-	asked := says(t, f, ping)
-	answered(t, asked)
-	open := func(n int) {
-		t.Helper()
-		for end, have := time.Now().Add(patience), -1; have != n; time.Sleep(time.Millisecond) {
-			if f.gateway.Loop.Do(func() { have = len(f.open) }); time.Now().After(end) {
-				t.Fatalf("%d open, want %d", have, n)
+// Guards against connections by the hundreds that make no call: they make room before one that has called, and that
+// before one that has just come. On a recorded day new connections were closed 3 ms after they had come, because
+// they alone had asked for nothing yet, and a call in twelve was lost with them.
+func TestWhoIsMissedLeastMakesRoom(t *testing.T) {
+	f := front(t, 4, 1<<20, time.Hour)
+	f.gateway.Loop.Do(func() {
+		now := f.gateway.Loop.Now()
+		add := func(asked, called bool, quiet time.Duration, calls ...string) *client {
+			nc, _ := net.Pipe()
+			c := &client{front: f, called: called, asked: asked, since: now - quiet, calls: map[string]core.ID{}}
+			c.conn = NewConn(f.gateway.Loop, nc, c, 1)
+			for i, id := range calls {
+				c.calls[id] = core.ID(i + 1)
+			}
+			f.open[c] = true
+			return c
+		}
+		add(true, true, time.Hour, "1") // has a call open
+		fresh := add(false, false, callGrace/2)
+		served := add(true, true, callGrace/2)
+		refused := add(true, false, callGrace/2)
+		called := add(true, true, time.Second)
+		calledLater := add(true, true, 2*callGrace)
+		silent := add(false, false, 2*callGrace)
+		silentLonger := add(false, false, 3*callGrace)
+		for i, want := range []*client{silentLonger, silent, called, calledLater, refused, served, fresh} {
+			if !f.closeOneIdle() || f.open[want] {
+				t.Errorf("another than the expected made room as number %d", i+1)
 			}
 		}
+		if f.closeOneIdle() || len(f.open) != 1 {
+			t.Error("one with a call open made room")
+		}
+	})
+}
+
+// Guards against a full front that takes nobody, and against an answer lost with the connection that makes room: it
+// may not be written yet when the next client comes. Seen on the same day, 43 times.
+func TestFullFrontTakesTheNext(t *testing.T) {
+	f := front(t, 1, 1<<20, time.Hour)
+	long := strings.Repeat("y", 8<<20) // more than the sockets between hold
+	first := says(t, f, ping)
+	answered(t, first)
+	f.gateway.Loop.Do(func() {
+		for c := range f.open {
+			c.conn.limit, f.gateway.Loop.room = 2*len(long), 2*int64(len(long))
+			c.conn.Write([]byte(long))
+		}
+	})
+	answered(t, says(t, f, ping))
+	if got, err := io.ReadAll(first); err != nil || len(got) != len(long) {
+		t.Fatalf("%d bytes, %v, want %d and the end", len(got), err, len(long))
 	}
-	first := says(t, f, "")
-	open(2)
-	second := says(t, f, "")
-	open(3)
-	third := says(t, f, ping)
-	answered(t, third)
-	ended(t, "the first silent one", first)
-	fourth := says(t, f, ping)
-	answered(t, fourth)
-	ended(t, "the second", second)
-	io.WriteString(asked, ping)
-	answered(t, asked)
 }
 
 // Guards against unfinished lines that fill the memory: where all together hold too much, a long one ends.
