Ask anew for each step of a MySQL attempt without counting it as sent again

Cause: a MySQL attempt asks leave twice, before a prepare and before its execute (mysql/exchange.go), and core.MaySend took any second question for an unread query sent again, which cost the ration. Changed: Leave and MaySend are told whether the attempt goes out again; only the HTTP side, after its engine did not know the query, says so. Checked: make test, both builds.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -29,8 +29,8 @@
 )
 
 // Leave is asked before the first byte that makes an engine work: how long the attempt may take, and whether it
-// may go out at all.
-type Leave func() (time.Duration, bool)
+// may go out at all. Again is set where it went out before and the engine seems not to have read it.
+type Leave func(again bool) (time.Duration, bool)
 
 // Machine carries one attempt. Its methods return what the driver is to do, in order.
 type Machine interface {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -203,9 +203,9 @@
 }
 
 // MaySend is asked when an attempt's first byte could go out, after any dial: the engine may have been listed as
-// draining meanwhile, the client's time may be over, the attempt called off. It returns the time that is left. It is
-// asked again when the engine seems not to have read it.
-func (c *Core) MaySend(now time.Duration, id ID, n int) (time.Duration, bool) {
+// draining meanwhile, the client's time may be over, the attempt called off. It returns the time that is left. Again
+// is set where the attempt went out and its engine seems not to have read it: then the module has the last word.
+func (c *Core) MaySend(now time.Duration, id ID, n int, again bool) (time.Duration, bool) {
 	r := c.requests[id]
 	if r == nil || n >= len(r.attempts) {
 		return 0, false
@@ -221,7 +221,7 @@
 			return 0, false
 		}
 	}
-	if a.sent && !c.gateway.SendAgain(now, id, n) {
+	if again && !c.gateway.SendAgain(now, id, n) {
 		return 0, false
 	}
 	a.sent = true
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -57,7 +57,7 @@
 	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
 	id, actions := c.Take(start, ask)
 	s := first[Start](t, actions)
-	if left, ok := c.MaySend(start+time.Millisecond, id, s.Attempt); !ok || left > 4*time.Second {
+	if left, ok := c.MaySend(start+time.Millisecond, id, s.Attempt, false); !ok || left > 4*time.Second {
 		t.Fatalf("may send: %v, %v left", ok, left)
 	}
 	if r := first[Reply](t, c.Ended(start+time.Second, id, 0, policy.OK, nil)); r.Verdict != Served {
@@ -75,7 +75,7 @@
 	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
 	id, _ := c.Take(start, ask)
 	c.Roster(start, false, []Line{engineLine("a", policy.Draining)})
-	if _, ok := c.MaySend(start+100*time.Millisecond, id, 0); ok {
+	if _, ok := c.MaySend(start+100*time.Millisecond, id, 0, false); ok {
 		t.Fatal("a draining engine gets new work")
 	}
 }
@@ -86,11 +86,11 @@
 	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
 	late, _ := c.Take(start, ask)
 	gone, _ := c.Take(start, ask)
-	if _, ok := c.MaySend(start+4*time.Second, late, 0); ok {
+	if _, ok := c.MaySend(start+4*time.Second, late, 0, false); ok {
 		t.Error("sent after the client's end")
 	}
 	first[Stop](t, c.Leave(start, gone))
-	if _, ok := c.MaySend(start, gone, 0); ok {
+	if _, ok := c.MaySend(start, gone, 0, false); ok {
 		t.Error("sent for a client that left")
 	}
 }
@@ -100,7 +100,7 @@
 	c, _ := newCore(t)
 	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
 	id, _ := c.Take(start, ask)
-	c.MaySend(start, id, 0)
+	c.MaySend(start, id, 0, false)
 	if wanted, _ := c.Began(start, id, 0); !wanted {
 		t.Fatal("not wanted")
 	}
@@ -119,7 +119,7 @@
 	c, _ := newCore(t)
 	c.Roster(start, true, []Line{engineLine("a", policy.Ready), engineLine("b", policy.Ready)})
 	id, _ := c.Take(start, ask)
-	c.MaySend(start, id, 0)
+	c.MaySend(start, id, 0, false)
 	c.Began(start, id, 0)
 	actions := c.Ended(start, id, 0, policy.Reset, nil)
 	if r := first[Reply](t, actions); r.Verdict != Broken || len(actions) != 1 {
@@ -227,7 +227,7 @@
 					n := out[id][0]
 					out[id] = nil
 					outcome := rapid.SampledFrom([]policy.Outcome{policy.OK, policy.Error, policy.Full, policy.Reset}).Draw(rt, "outcome")
-					if _, ok := c.MaySend(now, id, n); !ok {
+					if _, ok := c.MaySend(now, id, n, false); !ok {
 						outcome = policy.Moot
 					}
 					carry(c.Ended(now, id, n, outcome, nil))
@@ -258,7 +258,7 @@
 	named := ask
 	named.Name = "9b1f"
 	id, _ := c.Take(start, named)
-	c.MaySend(start, id, 0)
+	c.MaySend(start, id, 0, false)
 	_, actions := c.Take(start, named)
 	if r := first[Reply](t, actions); r.Verdict != Failed || len(actions) != 1 {
 		t.Fatalf("%+v, want a failure and nothing sent", actions)
@@ -281,15 +281,15 @@
 	id, _ := c.Take(start, ask)
 	sent := 0
 	for ok := true; ok; sent++ {
-		_, ok = c.MaySend(start+time.Millisecond, id, 0)
+		_, ok = c.MaySend(start+time.Millisecond, id, 0, sent > 0)
 	}
 	if sent != 5 { // four attempts are permitted, and the fifth try is not allowed
 		t.Errorf("asked %d times until it was denied", sent)
 	}
 	id, _ = c.Take(start+time.Second, ask)
-	c.MaySend(start+time.Second, id, 0)
+	c.MaySend(start+time.Second, id, 0, false)
 	c.Roster(start+time.Second, false, []Line{engineLine("a", policy.Draining)})
-	if _, ok := c.MaySend(start+time.Second, id, 0); ok {
+	if _, ok := c.MaySend(start+time.Second, id, 0, true); ok {
 		t.Error("sent again to an engine that drains")
 	}
 }
--- a/internal/httpq/httpq_test.go
+++ b/internal/httpq/httpq_test.go
@@ -17,7 +17,7 @@
 
 func init() { flag.Set("rapid.seed", "1"); flag.Set("rapid.nofailfile", "true") }
 
-func leave() (time.Duration, bool) { return time.Second, true }
+func leave(bool) (time.Duration, bool) { return time.Second, true }
 
 func begin(t testing.TB) *Query {
 	t.Helper()
@@ -129,7 +129,7 @@
 	}
 	q, _ = NewQuery(Request{})
 	var memory any
-	steps := q.Opened(attempt.Main, &memory, func() (time.Duration, bool) { return 0, false })
+	steps := q.Opened(attempt.Main, &memory, func(bool) (time.Duration, bool) { return 0, false })
 	if e := endOf(steps); e == nil || e.Outcome != policy.Moot || wrote(steps) != "" {
 		t.Fatalf("no leave: %+v", steps)
 	}
@@ -297,7 +297,11 @@
 	unread := func(allowed int) (*Query, []attempt.Step) {
 		q, _ := NewQuery(Request{Host: "e:1", ID: "9b1f"})
 		var steps []attempt.Step
-		leave := func() (time.Duration, bool) { allowed--; return time.Second, allowed >= 0 }
+		all := allowed
+		leave := func(again bool) (time.Duration, bool) {
+			allowed--
+			return time.Second, allowed >= 0 && again == (allowed < all-1)
+		}
 		for w := wrote(q.Opened(attempt.Main, &memory, leave)); strings.HasPrefix(w, "POST "); w = wrote(steps) {
 			q.Broke(attempt.Main)
 			if w := wrote(q.Opened(attempt.Main, &memory, leave)); !strings.HasPrefix(w, "GET /v2/q/9b1f/0 ") {
--- a/internal/httpq/query.go
+++ b/internal/httpq/query.go
@@ -92,7 +92,7 @@
 		q.write(attempt.Side, q.call("DELETE", ""))
 	case q.state == opening:
 		q.leave = leave
-		if left, ok := leave(); ok {
+		if left, ok := leave(false); ok {
 			q.writePost(left)
 			break
 		}
@@ -284,7 +284,7 @@
 		q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
 		return
 	}
-	if left, ok := q.leave(); ok {
+	if left, ok := q.leave(true); ok {
 		q.writePost(left)
 		return
 	}
--- a/internal/mysql/exchange.go
+++ b/internal/mysql/exchange.go
@@ -276,7 +276,7 @@
 			x.todo = append(x.todo, setup{command(comPrepare, []byte(e.Text)), prepared})
 		}
 	}
-	if _, ok := x.leave(); !ok {
+	if _, ok := x.leave(false); !ok {
 		x.end(policy.Moot)
 		return
 	}
@@ -293,7 +293,7 @@
 		x.write(attempt.Main, x.todo[0].bytes)
 		return
 	}
-	if _, ok := x.leave(); !ok { // the engine may drain since: what was prepared there is prepared elsewhere
+	if _, ok := x.leave(false); !ok { // the engine may drain since: what was prepared there is prepared elsewhere
 		x.end(policy.Moot)
 		return
 	}
--- a/internal/mysql/mysql_test.go
+++ b/internal/mysql/mysql_test.go
@@ -192,7 +192,7 @@
 			case 4, 5:
 				if x.phase != finished && !x.up[lane] && (lane == attempt.Side) == (x.phase == killing) {
 					memory[lane] = nil
-					steps = x.Opened(lane, &memory[lane], func() (time.Duration, bool) { return time.Second, true })
+					steps = x.Opened(lane, &memory[lane], func(bool) (time.Duration, bool) { return time.Second, true })
 				}
 			default:
 				steps = x.Fed(lane, parts.Draw(rt, "part"))
@@ -219,7 +219,7 @@
 func TestKilledConnectionIsNotUsedAgain(t *testing.T) {
 	x, _ := NewExchange(&Call{Account: &Account{}, Text: "SELECT 1"}, "u", "p")
 	var memory any = &session{in: framer{limit: maxControl}, ready: true, prepared: map[string]uint32{}}
-	x.Opened(attempt.Main, &memory, func() (time.Duration, bool) { return time.Second, true })
+	x.Opened(attempt.Main, &memory, func(bool) (time.Duration, bool) { return time.Second, true })
 	x.GiveUp(policy.Cancelled)
 	for _, s := range x.Fed(attempt.Main, rows("a")) {
 		if _, released := s.(attempt.Release); released {
@@ -235,7 +235,7 @@
 // is a confirmation; the query's own end is, or the engine's word that it knows no such thread.
 func TestGivenUpIsOutUntilConfirmed(t *testing.T) {
 	var memory [2]any
-	leave := func() (time.Duration, bool) { return time.Second, true }
+	leave := func(bool) (time.Duration, bool) { return time.Second, true }
 	ended := func(steps []attempt.Step) bool {
 		return slices.ContainsFunc(steps, func(s attempt.Step) bool { _, end := s.(attempt.End); return end })
 	}
--- a/internal/netio/flight.go
+++ b/internal/netio/flight.go
@@ -101,8 +101,8 @@
 			return
 		}
 		l.link = link
-		f.carryOut(f.machine.Opened(l.lane, &link.Memory, func() (time.Duration, bool) {
-			return f.gateway.MaySend(f.start.ID, f.start.Attempt)
+		f.carryOut(f.machine.Opened(l.lane, &link.Memory, func(again bool) (time.Duration, bool) {
+			return f.gateway.MaySend(f.start.ID, f.start.Attempt, again)
 		}))
 	})
 }
--- a/internal/netio/gateway.go
+++ b/internal/netio/gateway.go
@@ -88,9 +88,9 @@
 	g.carryOut(actions, nil)
 }
 
-// MaySend asks leave for an attempt's first byte.
-func (g *Gateway) MaySend(id core.ID, n int) (time.Duration, bool) {
-	return g.Core.MaySend(g.Loop.Now(), id, n)
+// MaySend asks leave for an attempt's first byte, or for its first byte again.
+func (g *Gateway) MaySend(id core.ID, n int, again bool) (time.Duration, bool) {
+	return g.Core.MaySend(g.Loop.Now(), id, n, again)
 }
 
 // Began says that a part of an attempt's answer is there, and tells whether it is to go out.
