Call off an attempt whose answer its engine withholds as soon as that shows

A POST that got no word in 0.3 s went one of two ways: asked again, the engine gave its answer within 8 ms (lost on the way), or said 202, and then none of 140 ever ended: called off at last by the module's bad-plan rule. One that had a 202 before and fell silent was always saved. Changed: after no word on a POST and a 202 to the next call the attempt tells Overdue, and the module calls it off if class, time and ration leave it another attempt. Nothing changes where the ration is used up.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -73,6 +73,9 @@
 	}
 	// News is a note on a running query: the share done.
 	News struct{ Done float64 }
+	// Overdue says that the engine withholds the answer: it gave no word of the query in the time in which it must, and
+	// when asked again says that it is not over.
+	Overdue struct{}
 	// Relay passes bytes of the answer on to the client; with the first the answer has begun.
 	Relay struct{ Bytes []byte }
 	// End is the one end of the attempt: it is not out any more.
@@ -89,5 +92,6 @@
 func (Drop) step()    {}
 func (Set) step()     {}
 func (News) step()    {}
+func (Overdue) step() {}
 func (Relay) step()   {}
 func (End) step()     {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -276,6 +276,11 @@
 	return c.tell(now, policy.Progress{ID: id, Attempt: n, Done: done})
 }
 
+// Overdue passes on that an engine withholds an attempt's answer.
+func (c *Core) Overdue(now time.Duration, id ID, n int) []Action {
+	return c.tell(now, policy.AnswerOverdue{ID: id, Attempt: n})
+}
+
 // Due passes on a timer that the module asked for.
 func (c *Core) Due(now time.Duration, token uint64) []Action {
 	return c.tell(now, policy.TimerFired{Token: token})
--- a/internal/httpq/httpq_test.go
+++ b/internal/httpq/httpq_test.go
@@ -369,3 +369,28 @@
 		t.Errorf("%v after asking for a page", d)
 	}
 }
+
+// Guards against waiting on for an answer that the engine withholds: seen on a recorded day, where each of 140 queries
+// that got no word after their POST and then 'not yet over' stayed without an answer to the end. One whose answer
+// was only lost gets it again at once, and one that had a word before runs on.
+func TestWithheldAnswerIsTold(t *testing.T) {
+	var memory any
+	overdue := func(steps []attempt.Step) bool { return slices.Contains(steps, attempt.Step(attempt.Overdue{})) }
+	q := begin(t)
+	q.Rang(attempt.Silence)
+	q.Opened(attempt.Main, &memory, leave)
+	steps := q.Fed(attempt.Main, response(202, ""))
+	if !overdue(steps) || endOf(steps) != nil {
+		t.Fatalf("%+v", steps)
+	}
+	if overdue(q.Fed(attempt.Main, response(202, ""))) {
+		t.Error("told twice")
+	}
+	q = begin(t)
+	q.Fed(attempt.Main, response(202, ""))
+	q.Rang(attempt.Silence)
+	q.Opened(attempt.Main, &memory, leave)
+	if overdue(q.Fed(attempt.Main, response(202, ""))) {
+		t.Error("told of one that had a word before")
+	}
+}
--- a/internal/httpq/query.go
+++ b/internal/httpq/query.go
@@ -63,6 +63,7 @@
 	due     bool // it is to be written anew
 	heard   bool // something came since it was
 	unread  bool // its connection broke before: perhaps the engine never had it
+	mute    bool // nothing came of the POST in its time
 	steps   []attempt.Step
 }
 
@@ -190,6 +191,7 @@
 		}
 		q.end(q.final)
 	case a == attempt.Silence && q.state == running:
+		q.mute = q.mute || !q.heard
 		q.drop(attempt.Main)
 		q.do(attempt.Open{Lane: attempt.Main, Fresh: true})
 	case a == attempt.Silence && q.state == paging:
@@ -259,6 +261,10 @@
 		} else {
 			q.do(attempt.Open{Lane: attempt.Main})
 		}
+		if q.mute { // an answer that was only lost would have been given again by now
+			q.mute = false
+			q.do(attempt.Overdue{})
+		}
 	case res.Status == 200:
 		q.firstPage(res)
 	case res.Status == 503 && never:
@@ -293,7 +299,7 @@
 }
 
 func (q *Query) writePost(left time.Duration) {
-	q.state, q.due, q.heard, q.unread = running, false, false, false
+	q.state, q.due, q.heard, q.unread, q.mute = running, false, false, false, false
 	q.posted++
 	q.write(attempt.Main, q.post(left))
 }
--- a/internal/netio/flight.go
+++ b/internal/netio/flight.go
@@ -83,6 +83,8 @@
 			}
 		case attempt.News:
 			f.gateway.Progress(f.start.ID, f.start.Attempt, s.Done)
+		case attempt.Overdue:
+			f.gateway.Overdue(f.start.ID, f.start.Attempt)
 		case attempt.Relay:
 			if f.gateway.Began(f.start.ID, f.start.Attempt) {
 				f.relay(s.Bytes)
--- a/internal/netio/gateway.go
+++ b/internal/netio/gateway.go
@@ -108,6 +108,11 @@
 	g.carryOut(g.Core.Progress(g.Loop.Now(), id, n, done), nil)
 }
 
+// Overdue passes on that an engine withholds an answer.
+func (g *Gateway) Overdue(id core.ID, n int) {
+	g.carryOut(g.Core.Overdue(g.Loop.Now(), id, n), nil)
+}
+
 // Ended reports the one end of an attempt.
 func (g *Gateway) Ended(id core.ID, n int, outcome policy.Outcome, report []core.Field, result any) {
 	c := g.calls[id]
--- a/policy/api.go
+++ b/policy/api.go
@@ -253,6 +253,12 @@
 	Done    float64
 }
 
+// AnswerOverdue says that an engine withholds the answer of a running attempt.
+type AnswerOverdue struct {
+	ID      RequestID
+	Attempt int
+}
+
 // TimerFired is a timer that came due.
 type TimerFired struct{ Token uint64 }
 
@@ -266,6 +272,7 @@
 func (AttemptEnded) event()  {}
 func (ProbeEnded) event()    {}
 func (Progress) event()      {}
+func (AnswerOverdue) event() {}
 func (TimerFired) event()    {}
 func (Closing) event()       {}
 
@@ -368,6 +375,8 @@
 		}
 	case AttemptEnded:
 		g.ended(e)
+	case AnswerOverdue:
+		g.overdue(e)
 	case ProbeEnded:
 		g.probed(e)
 	case Closing:
--- a/policy/failures_test.go
+++ b/policy/failures_test.go
@@ -448,3 +448,20 @@
 		t.Fatal("beyond the ration")
 	}
 }
+
+// Recorded day r75db9c: answers that engines withheld were waited for until the query counted as a bad plan, or was
+// late. It is called off as soon as that is known, if there is time and ration for another attempt.
+func TestWithheldAnswerIsTriedElsewhere(t *testing.T) {
+	for _, ration := range []float64{5, 0} {
+		g := handMade(t, 2, func(s *Settings) {
+			s.Rules.Budgeted, s.Rules.FreeExtras, s.Rules.ExtraShare, s.Rules.ExtraSpan = true, ration, 0, 5*time.Second
+		})
+		g.Handle(g.now, Arrival{ID: 1, Cost: time.Second, Remaining: time.Minute})
+		acts := g.Handle(g.now, AnswerOverdue{ID: 1})
+		if called := len(acts) > 0 && acts[0] == (Cancel{ID: 1}); called != (ration > 0) {
+			t.Errorf("ration %v: %v", ration, acts)
+		}
+		g.Handle(g.now, AnswerOverdue{ID: 1, Attempt: 3})
+		g.Handle(g.now, AnswerOverdue{ID: 7})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -604,6 +604,15 @@
 	}
 }
 
+// overdue calls off an attempt whose answer the engine withholds, if another can still help. It should help
+// where an engine loses some of its answers; one that only paused loses the work that it did until then.
+func (g *Gateway) overdue(e AnswerOverdue) {
+	r := g.requests[e.ID]
+	if r != nil && !r.over && e.Attempt >= 0 && e.Attempt < len(r.attempts) && g.worthAgain(r) {
+		g.cancel(r.attempts[e.Attempt])
+	}
+}
+
 // yield gives what still runs of a request the lowest priority: it is past its aim, or nobody waits for it.
 func (g *Gateway) yield(r *request) {
 	if g.s.TakesPriority && r.out > 0 {
