Bear no id in errors for an id that is in use

Changed: such a line gets an error with the id null, before its params are looked at; an abort may still bear the id of the call that it means.

--- a/internal/jsonrpc/jsonrpc.go
+++ b/internal/jsonrpc/jsonrpc.go
@@ -137,9 +137,15 @@
 	if m.Version != "2.0" || m.Method == "" || !plainID(id) {
 		return bad("null", codeRequest, "not a JSON-RPC 2.0 request")
 	}
+	_, twice := s.open[id]
+	if twice && m.Method != "abort" { // an error under that id would be taken for the first call's answer
+		return bad("null", codeRequest, "the id is in use")
+	}
 	var p params
 	if len(m.Params) > 0 {
-		if err := json.Unmarshal(m.Params, &p); err != nil {
+		if err := json.Unmarshal(m.Params, &p); err != nil && twice {
+			return bad("null", codeParams, "params are of another form")
+		} else if err != nil {
 			return bad(id, codeParams, "params are of another form")
 		}
 	}
@@ -161,7 +167,6 @@
 
 func (s *Session) call(id string, class int, p params) Event {
 	statement, err := decode(p.Blob)
-	_, twice := s.open[id]
 	switch {
 	case err != nil:
 		return bad(id, codeParams, "blob is not base64")
@@ -175,8 +180,6 @@
 		return bad(id, codeParams, "this class needs a token")
 	case !(p.Est >= 0) || !(p.RAM >= 0) || p.Est > 1e9 || p.RAM > 1e9:
 		return bad(id, codeParams, "est or ram is no figure")
-	case twice:
-		return bad(id, codeRequest, "the id is in use")
 	case len(s.open) >= maxOpen:
 		return bad(id, codeRequest, "too many calls are open")
 	}
--- a/internal/jsonrpc/jsonrpc_test.go
+++ b/internal/jsonrpc/jsonrpc_test.go
@@ -61,11 +61,16 @@
 	}
 }
 
-// Guards against two answers for one id: a second call under an open id is not taken.
+// Guards against two answers for one id: whatever else comes under an open id is not taken, and the error bears no id,
+// as it would be taken for the first call's answer.
 func TestIDInUse(t *testing.T) {
-	s := NewSession(classes{})
-	if events, _ := s.Feed([]byte(good + good)); events[1].Reply == nil || s.Open() != 1 {
-		t.Fatalf("%+v", events)
+	for _, second := range []string{good, strings.Replace(good, "1500", "-1", 1), strings.Replace(good, "report", "ping", 1),
+		strings.Replace(good, "report", "nosuch", 1), `{"jsonrpc":"2.0","id":7,"method":"abort","params":[]}` + "\n"} {
+		s := NewSession(classes{})
+		events, _ := s.Feed([]byte(good + second))
+		if len(events) != 2 || !bytes.Contains(events[1].Reply, []byte(`"id":null,"error"`)) || s.Open() != 1 {
+			t.Errorf("%s: %+v", second, events)
+		}
 	}
 }
 
