End a planned stop on a timer of its own, and log all stacks if the loop hangs

Checked: the counts that are missing say that the loop stood still; CPU (0.17 s in the worst second of 0.25 allowed) rules out a spin; few of some 130 requests of the stop are missing, which puts the hang near the close of the listener, 0.75 s after SIGTERM. Read: no Post from the loop, no lock held over a call. Not found: the cause. Changed: the stop's end does not hang on the loop: cmd/frostpier/run.go waited for ctx alone and in loop.Do. 0.1 s after its time it logs every goroutine's stack and exits, 50 ms and more before the kill may come, so that the address is free for the next start and the log names the place. Nothing else changes where the loop runs. The test fails without.

--- a/cmd/frostpier/run.go
+++ b/cmd/frostpier/run.go
@@ -27,6 +27,8 @@
 	answerIn   = 200 * time.Millisecond // beyond the deadline, all that is open is answered
 	exitIn     = 500 * time.Millisecond // and beyond it the program ends
 	flushWait  = 50 * time.Millisecond
+	stuckWait  = 50 * time.Millisecond // and if it has not by then, it ends all the same
+	stacksMost = 64 << 10
 	statsEvery = 10 * time.Second
 )
 
@@ -107,15 +109,30 @@
 		case <-hup:
 			p.reload(conf)
 		case <-term.Done():
-			loop.Do(p.drain)
 			serving = false
 		}
 	}
-	<-ctx.Done()
-	log.Info("stopped", "counts", heart.Counts(), "invariants", keep.Broken())
+	overdue := time.NewTimer(p.longest + exitIn + flushWait + stuckWait)
+	go loop.Do(p.drain)
+	if ended(ctx, overdue.C, log) {
+		log.Info("stopped", "counts", heart.Counts(), "invariants", keep.Broken())
+	}
 	return nil
 }
 
+// ended waits for the end of a stop. A loop that hangs must not keep the program past its time: the kill would come,
+// and the next start might find the address still in use. The log then says where everything stood.
+func ended(ctx context.Context, overdue <-chan time.Time, log *slog.Logger) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	case <-overdue:
+		stacks := make([]byte, stacksMost)
+		log.Error("stopped, though the loop hangs", "stacks", string(stacks[:runtime.Stack(stacks, true)]))
+		return false
+	}
+}
+
 // program is what a stop has to reach.
 type program struct {
 	loop    *netio.Loop
--- a/cmd/frostpier/run_test.go
+++ b/cmd/frostpier/run_test.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,3 +38,21 @@
 		}
 	}
 }
+
+// Guards against a stop that a hanging loop keeps for ever: seen on a day of bad clients, where the program went silent
+// in a planned stop, was killed, and its next start found the address in use. It ends, and says where all stood.
+func TestStopEndsThoughTheLoopHangs(t *testing.T) {
+	text := &bytes.Buffer{}
+	log := slog.New(slog.NewTextHandler(text, nil))
+	late := make(chan time.Time, 1)
+	late <- time.Time{}
+	if ended(context.Background(), late, log) || !strings.Contains(text.String(), "goroutine") {
+		t.Errorf("a loop that hangs: %s", text)
+	}
+	text.Reset()
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	if !ended(done, nil, log) || text.Len() > 0 {
+		t.Errorf("a loop that has ended: %s", text)
+	}
+}
