--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"net"
 	"slices"
 	"time"
@@ -16,24 +15,6 @@
 	idleShare   = 3       // idle connections are closed after a third of the time that engines leave them
 )
 
-// Connections that have rested break more often than others where something resets idle ones.
-const (
-	restMost   = 50 * time.Millisecond
-	breakStep  = 0.02 // weight of one use: about the last fifty
-	staleTimes = 2.0  // times as often as others, and
-	staleMore  = 0.03 // that much more, break those that are not used again
-	staleFades = time.Minute
-)
-
-// use tells what a connection in use was before, until something comes or it breaks.
-type use uint8
-
-const (
-	proven use = iota
-	young      // new, or just used
-	rested
-)
-
 // Share is a number of descriptors: so many at most, and beyond that a few for what cannot wait.
 type Share struct{ Most, Urgent int }
 
@@ -48,8 +29,6 @@
 	held    int
 	waited  int // how often a descriptor had to be waited for
 	queue   []*waiter
-	breaks  [rested + 1]float64 // how often connections have lately broken before anything came
-	staleAt time.Duration       // when that of rested ones last faded
 }
 
 // waiter waits for a descriptor.
@@ -70,8 +49,6 @@
 	user   Handler // nil while idle
 	Memory any     // what a state machine keeps with the connection
 	timer  *Timer
-	since  time.Duration // when it became idle
-	was    use
 }
 
 // NewPool makes a Pool of at most budget connections; the urgent ones give attempts up.
@@ -83,7 +60,6 @@
 // Data passes on what the connection brings; an idle one that speaks is of no use.
 func (l *Link) Data(b []byte) {
 	if l.user != nil {
-		l.proved(0)
 		l.user.Data(b)
 		return
 	}
@@ -91,27 +67,10 @@
 	l.Drop()
 }
 
-// proved notes how a use began.
-func (l *Link) proved(broke float64) {
-	if p := l.pool; l.was != proven {
-		p.fade()
-		p.breaks[l.was] += breakStep * (broke - p.breaks[l.was])
-		l.was = proven
-	}
-}
-
-// fade makes the figure of rested connections fall: without it they would never be tried again.
-func (p *Pool) fade() {
-	now := p.loop.Now()
-	p.breaks[rested] *= math.Exp(-float64(now-p.staleAt) / float64(staleFades))
-	p.staleAt = now
-}
-
 // Closed passes on that the connection ended.
 func (l *Link) Closed(err error) {
 	l.pool.unhold()
 	if l.user != nil {
-		l.proved(1)
 		l.user.Closed(err)
 		return
 	}
@@ -141,7 +100,7 @@
 	if l.pool.handOver(l) {
 		return
 	}
-	l.user, l.was, l.since = nil, proven, l.pool.loop.Now()
+	l.user = nil
 	l.timer = l.pool.loop.After(l.pool.idleFor, func() { l.pool.unlist(l); l.Drop() })
 	l.pool.idle[l.engine] = append(l.pool.idle[l.engine], l)
 	l.pool.admit()
@@ -155,7 +114,7 @@
 			continue
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
-		l.user, l.was = w.user, young
+		l.user = w.user
 		p.loop.After(0, func() {
 			switch {
 			case *w.stopped:
@@ -192,32 +151,15 @@
 	delete(p.idle, engine)
 }
 
-// refresh closes the idle connections to an engine if all have rested and such break far more often than others: each
-// that does costs a further attempt, a dial next to nothing. Seen on a day on which idle ones were reset: 10 to 23 in
-// 100 broke after a rest, 4 of the new ones. Where all are reset alike it would only dial more.
-func (p *Pool) refresh(engine policy.EngineID) {
-	if list := p.idle[engine]; len(list) > 0 && p.restedAll(list) {
-		if p.fade(); p.breaks[rested] > staleTimes*p.breaks[young]+staleMore {
-			p.Forget(engine)
-		}
-	}
-}
-
-// restedAll looks at the one that was used last.
-func (p *Pool) restedAll(idle []*Link) bool { return p.loop.Now()-idle[len(idle)-1].since > restMost }
-
 // Get brings a connection for user: an idle one at once, unless fresh, or a new one. The returned function ends
 // the wait. done runs on the loop, never before Get returns.
 func (p *Pool) Get(engine policy.EngineID, addr string, fresh, urgent bool, user Handler, done func(*Link, error)) func() {
 	stopped := false
 	end := func() { stopped = true } // what ends the wait changes as it goes on
-	p.refresh(engine)
 	if list := p.idle[engine]; len(list) > 0 && !fresh {
 		l := list[len(list)-1] // the last used is the least likely to be stale
 		p.unlist(l)
-		if l.user, l.was = user, young; p.restedAll(list) {
-			l.was = rested
-		}
+		l.user = user
 		p.loop.After(0, func() {
 			switch {
 			case stopped && !l.closed:
@@ -288,7 +230,7 @@
 		}
 		return
 	}
-	l := &Link{pool: p, engine: engine, user: user, was: young}
+	l := &Link{pool: p, engine: engine, user: user}
 	l.Conn = NewConn(p.loop, nc, l, engineQueue)
 	if *stopped {
 		l.Release()
