--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 .PHONY: build test lint run clean
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 lint:
 	@unformatted=$$(gofmt -l cmd internal policy); if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
