Count an attempt called off at a silent engine as not reached

Of the answers that were not results, most were refusals after one attempt (728 and 866 in the windows from 5 s and 10 s): the attempt was out until its request's end.

Checked: policy.go hear() counts a Timeout or Cancelled end only while the request is not over; an attempt called off by answer() at its request's end ends (Cancelled) after its request is over, so it never counted. silence() shuts only at three longest usual times over what waits, which one query at a time does not reach within a lookup's budget.

Change: cancel() counts an attempt whose engine has said nothing since it went there, for over a second, as not reached (twice the failure step: two shut). Debug log: an attempt's end names its engine, and each answer that is not a result is logged with attempts and time left.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"time"
@@ -239,8 +240,10 @@
 	a.over = true
 	r.out--
 	c.out--
-	if c.keep.Holds(a.sent || outcome.NeverRan() || outcome == policy.Cancelled, "nothing ran unsent", "outcome", outcome) {
-		c.log.Debug("attempt ended", "request", id, "attempt", n, "outcome", outcome, "took", now-a.started)
+	ran := c.keep.Holds(a.sent || outcome.NeverRan() || outcome == policy.Cancelled, "nothing ran unsent", "outcome", outcome)
+	if ran && c.log.Enabled(context.Background(), slog.LevelDebug) {
+		c.log.Debug("attempt ended", "request", id, "attempt", n, "engine", fmt.Sprintf("%x", uint64(a.engine)),
+			"outcome", outcome, "took", now-a.started)
 	}
 	end := policy.AttemptEnded{ID: id, Attempt: n, Engine: a.engine, Outcome: outcome, Took: now - a.started,
 		Terminal: r.replied || r.begun || outcome == policy.OK, Report: c.report(fields)}
@@ -344,6 +347,9 @@
 	}
 	r.replied = true
 	c.open--
+	if v != Served {
+		c.log.Debug("request answered", "request", id, "verdict", v, "attempts", len(r.attempts), "left", r.end-now)
+	}
 	switch v {
 	case Served:
 		c.counts.Served++
--- a/policy/failures_test.go
+++ b/policy/failures_test.go
@@ -554,3 +554,36 @@
 		t.Error("a full engine does not rest")
 	}
 }
+
+// zone+vast 268696196717: a zone was cut off, and its engines said nothing while they held a query each of 80
+// gateways. Each such attempt was called off at its request's end, which taught nothing: one gateway sent seven
+// queries in 15 s to one silent engine and never shut it. Called off after a second of silence, it is not reached.
+func TestAttemptCalledOffAtASilentEngineCountsAsNotReached(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		g := handMade(t, 2, func(s *Settings) { s.CanProbe = false })
+		var first *engine
+		for id := RequestID(1); id <= 2; id++ {
+			g.Handle(g.now, Arrival{ID: id, Cost: 100 * time.Millisecond, Remaining: 1500 * time.Millisecond})
+			r := g.requests[id]
+			if r == nil || r.out != 1 {
+				t.Fatalf("request %d is not out", id)
+			}
+			if first == nil {
+				first = r.attempts[0].engine
+			} else if r.attempts[0].engine != first && !heard {
+				t.Fatalf("the second query went elsewhere before anything was learned")
+			}
+			if heard {
+				g.Handle(g.now+300*time.Millisecond, Progress{ID: id, Done: -1})
+			}
+			g.Handle(g.now+1500*time.Millisecond, TimerFired{Token: beatToken})
+			if !r.over {
+				t.Fatalf("request %d is not answered at its end", id)
+			}
+			g.Handle(g.now+time.Second, AttemptEnded{ID: id, Engine: first.ID, Outcome: Cancelled})
+		}
+		if first.shut == heard {
+			t.Fatalf("engine heard from: %v, shut: %v", heard, first.shut)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -573,10 +573,14 @@
 	g.finish(r)
 }
 
-// cancel calls attempts off where that is permitted.
+// cancel calls attempts off where permitted. One whose engine said nothing for over a second counts as not
+// reached: one of hundreds of gateways holds a query at a time at a cut-off engine, and never learned it.
 func (g *Gateway) cancel(attempts ...*attempt) {
 	for _, a := range attempts {
 		if g.s.CanCancel && !a.over && !a.cancelled && !a.req.streaming {
+			if a.engine.heard <= a.sent && g.now-a.sent > silentLeast {
+				g.fail(a.engine, 2*badStep)
+			}
 			a.cancelled = true
 			g.do(Cancel{a.req.ID, a.n})
 		}
