--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -71,7 +71,7 @@
 		Alarm Alarm
 		After time.Duration
 	}
-	// News is word of a running query: the share done, or -1 where the engine only says that it runs.
+	// News is a note on a running query: the share done.
 	News struct{ Done float64 }
 	// Overdue says that the engine withholds the answer: it gave no word of the query in the time in which it must, and
 	// when asked again says that it is not over.
--- a/internal/httpq/httpq_test.go
+++ b/internal/httpq/httpq_test.go
@@ -394,25 +394,3 @@
 		t.Error("told of one that had a word before")
 	}
 }
-
-// Every 202 is word from the engine, with or without a note: the module counts an engine silent only when none comes.
-func TestEveryNotYetIsNews(t *testing.T) {
-	news := func(steps []attempt.Step) (float64, bool) {
-		for _, s := range steps {
-			if n, ok := s.(attempt.News); ok {
-				return n.Done, true
-			}
-		}
-		return 0, false
-	}
-	q := begin(t)
-	if done, ok := news(q.Fed(attempt.Main, response(202, ""))); !ok || done != -1 {
-		t.Fatalf("a bare 202: %v %v", done, ok)
-	}
-	if done, ok := news(q.Fed(attempt.Main, response(202, "", "X-Tell: done", "Figure: 0.25"))); !ok || done != 0.25 {
-		t.Fatalf("a 202 with a share done: %v %v", done, ok)
-	}
-	if done, ok := news(q.Fed(attempt.Main, response(202, "", "X-Tell: done", "Figure: 7"))); !ok || done != -1 {
-		t.Fatalf("a 202 with a share out of range: %v %v", done, ok)
-	}
-}
--- a/internal/httpq/query.go
+++ b/internal/httpq/query.go
@@ -323,16 +323,13 @@
 	}
 }
 
-// note passes on the news of a 202: the share done where the engine tells it, else -1, which still says that the
-// engine is there and runs the query.
 func (q *Query) note(res *Response) {
-	done := -1.0
-	if res.Head.Get("X-Tell") == "done" {
-		if d, err := strconv.ParseFloat(res.Head.Get("Figure"), 64); err == nil && d >= 0 && d <= 1 {
-			done = d
-		}
+	if res.Head.Get("X-Tell") != "done" {
+		return
+	}
+	if done, err := strconv.ParseFloat(res.Head.Get("Figure"), 64); err == nil && done >= 0 && done <= 1 {
+		q.do(attempt.News{Done: done})
 	}
-	q.do(attempt.News{Done: done})
 }
 
 func (q *Query) firstPage(res *Response) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -246,8 +246,7 @@
 	Report  Report
 }
 
-// Progress is news of a running attempt: the share of its work that is done, or -1 where the engine only says that
-// it runs.
+// Progress is news of a running attempt: the share of its work that is done.
 type Progress struct {
 	ID      RequestID
 	Attempt int
@@ -374,10 +373,6 @@
 		}
 	case AttemptEnded:
 		g.ended(e)
-	case Progress: // news of a query is word from its engine
-		if r := g.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
-			r.attempts[e.Attempt].engine.heard = g.now
-		}
 	case AnswerOverdue:
 		g.overdue(e)
 	case ProbeEnded:
--- a/policy/failures_test.go
+++ b/policy/failures_test.go
@@ -573,8 +573,8 @@
 			} else if r.attempts[0].engine != first && !heard {
 				t.Fatalf("the second query went elsewhere before anything was learned")
 			}
-			if heard {
-				g.Handle(g.now+300*time.Millisecond, Progress{ID: id, Done: -1})
+			if heard { // another query there was answered meanwhile
+				first.heard = g.now + 300*time.Millisecond
 			}
 			g.Handle(g.now+1500*time.Millisecond, TimerFired{Token: beatToken})
 			if !r.over {
