Believe no death at second hand unasked, and bound the pings of suspects

Need: after a cut between hundreds healed, members were told dead by their own half (44 of 300 processes). And each member pinged up to 150 suspects each 0.3 s without a bound.

Change: a death at second hand opens a doubt that further words do not end; it ends by the member's answer or by eight pings in vain. All suspects share eight pings in 0.15 intervals, those probed in vain first, each member beginning elsewhere. What others hold is taken over unasked only in the first five intervals after a start.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -37,10 +37,13 @@
 	secondHand     = 1.6  // intervals that a member waits longer who only heard of a suspicion (ours)
 	callShare      = 0.15 // of the interval between two pings of a suspect before it is told dead (ours)
 	callLeast      = 1.0  // intervals that a suspect is pinged before it is told dead, at the least (ours)
+	callsRound     = 8    // pings of suspects, all together, in that time (ours)
+	callsLeast     = 8    // pings without an answer before any is told dead: loss alone must not do it (ours)
 	gossipShare    = 0.1  // of the interval between two rounds of gossip, while there is news
 	graceShare     = 0.02 // of the interval by which a wait may end late before all others are moved on (ours)
 	lateShare      = 0.25 // of the interval by which it must be late to speak against the own health
 
+	young         = 5  // intervals after the start in which what others hold is taken over as it stands
 	helpers       = 3  // members asked to probe a target that gave no answer: SWIM's k
 	askRounds     = 2  // times that helpers are asked, others each time (ours): loss alone must not bring suspicion
 	confirmations = 2  // accusers beside the first from which a suspicion is as short as it gets
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -110,8 +110,9 @@
 	rideAt    time.Duration // of the next datagram for the riders; 0 = there is none
 	probe     probe
 	relays    []relay
-	suspects  []int // members under suspicion
-	reach     int   // place in the members of the last try to reach one that is out of service
+	suspects  []int         // members under suspicion
+	callAt    time.Duration // no ping of a suspect before this
+	reach     int           // place in the members of the last try to reach one that is out of service
 
 	news     queue
 	gossipAt time.Duration // 0 = nothing to pass on
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -468,3 +468,41 @@
 		}
 	}
 }
+
+// However many members are in doubt at once, the pings that ask them are so many in a time, every one is asked, and the
+// same death heard again kills none of them unasked.
+func TestDoubtsAreAskedAboutWithinABound(t *testing.T) {
+	const peers, gone = 200, 150
+	n := newNode(t, 0, peers)
+	inc := uint64(epoch / time.Second)
+	tellAll := func() {
+		for i := 2; i < 2+gone; i++ {
+			n.get(t, 1, from(n, 1, says(i, Dead, inc, 1)))
+		}
+	}
+	tellAll()
+	tellAll()
+	if n.InService() != peers {
+		t.Fatalf("%d of %d in service: a death heard twice was believed unasked", n.InService(), peers)
+	}
+	asked, pings := map[int]bool{}, 0
+	const span = 10 * time.Second
+	for now := epoch + time.Second; now < epoch+time.Second+span; now = max(now+time.Millisecond, n.Next()) {
+		n.Tick(now)
+		for _, d := range n.Datagrams() {
+			if d.To >= 2 && d.To < 2+gone && n.callAt == now+n.cfg.part(callShare)/callsRound {
+				asked[d.To] = true
+				pings++
+			}
+		}
+		if err := n.Check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if most := int(float64(callsRound)*float64(span)/float64(n.cfg.part(callShare))) + 1; pings > 2*most {
+		t.Errorf("%d pings of suspects in %v, at most %d with those beside them", pings, span, 2*most)
+	}
+	if len(asked) < gone {
+		t.Errorf("%d of %d that are in doubt were asked", len(asked), gone)
+	}
+}
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -10,6 +10,7 @@
 	began     time.Duration
 	callFrom  time.Duration // from when on it has been pinged for an answer; 0 = not yet
 	calledAt  time.Duration // when it last was
+	calls     int16         // how often it was
 	firstHand bool          // this member probed it in vain
 	told      bool          // it was said to be dead while nothing was known of a suspicion
 	accusers  [confirmations + 1]int32
@@ -70,8 +71,30 @@
 		n.tell(now, i, n.limit)
 	}
 	m.firstHand = true
-	m.callFrom, m.calledAt = now, now
-	n.ping(now, i) // it hears of the suspicion from this first
+	m.callFrom = now
+	n.call(now, i) // it hears of the suspicion from this first
+}
+
+// doubt is a suspicion that a death told at second hand leads to: the member itself is asked before that is believed.
+// A rumour from beyond a cut that healed must not kill a member among those who have been in touch with it all the
+// while. Further words of the same death change nothing meanwhile.
+func (n *Node) doubt(now time.Duration, i int, incarnation uint64, by int) {
+	m := &n.members[i]
+	if m.state == Alive {
+		n.set(now, i, Suspect, max(incarnation, m.incarnation), by, true)
+		m.told = true
+		return
+	}
+	m.incarnation = max(incarnation, m.incarnation)
+}
+
+// call pings a suspect for an answer.
+func (n *Node) call(now time.Duration, i int) {
+	m := &n.members[i]
+	m.calledAt = now
+	m.calls = min(m.calls+1, callsLeast)
+	n.callAt = now + n.cfg.part(callShare)/callsRound
+	n.ping(now, i)
 }
 
 // lasts is how long a suspicion goes on, and from when on the suspect is pinged for an answer: Lifeguard's figure,
@@ -106,38 +129,71 @@
 	return max(m.began+all, m.callFrom+least)
 }
 
+// mayCall is when a suspect may be pinged next. All suspects together have so many pings a round: after a cut
+// between hundreds healed every member pinged a hundred others each round, and the flood itself lost the answers.
+func (n *Node) mayCall(m *member) time.Duration {
+	return max(m.calledAt+n.cfg.part(callShare), n.callAt)
+}
+
 // suspicionDue is when a suspicion wants attention.
 func (n *Node) suspicionDue(i int) time.Duration {
 	m := &n.members[i]
-	if m.callFrom == 0 {
+	switch {
+	case m.callFrom == 0:
 		_, calls := n.lasts(m)
 		return m.began + calls
+	case m.calls < callsLeast: // nothing else ends it
+		return n.mayCall(m)
 	}
-	return min(n.deadAt(m), m.calledAt+n.cfg.part(callShare))
+	return min(n.deadAt(m), n.mayCall(m))
 }
 
 func (n *Node) tickSuspicions(now time.Duration) {
 	for k := 0; k < len(n.suspects); {
 		i := n.suspects[k]
 		m := &n.members[i]
-		_, calls := n.lasts(m)
-		if m.callFrom == 0 && now >= m.began+calls {
-			m.callFrom = now
+		if m.callFrom == 0 {
+			if _, calls := n.lasts(m); now >= m.began+calls {
+				m.callFrom = now
+			}
 		}
-		switch {
-		case m.callFrom == 0:
-		case now >= n.deadAt(m):
-			if n.health > 0 && now-m.heard < n.cfg.Interval {
-				// Ours: it is still heard, and the own health is bad: perhaps only the way out of here is cut.
-				m.began += n.cfg.Interval
-				break
+		if m.callFrom > 0 && m.calls >= callsLeast && now >= n.deadAt(m) {
+			if n.health == 0 || now-m.heard >= n.cfg.Interval {
+				n.set(now, i, Dead, m.incarnation, n.cfg.Self, false) // takes it off the list
+				continue
 			}
-			n.set(now, i, Dead, m.incarnation, n.cfg.Self, false) // takes it off the list
-			continue
-		case now >= m.calledAt+n.cfg.part(callShare):
-			m.calledAt = now
-			n.ping(now, i)
+			// Ours: it is still heard, and the own health is bad: perhaps only the way out of here is cut.
+			m.began += n.cfg.Interval
 		}
 		k++
 	}
+	if now >= n.callAt {
+		if i := n.nextCall(now); i >= 0 {
+			n.call(now, i)
+		}
+	}
+}
+
+// nextCall is the suspect that is to be pinged: who was probed in vain first, then who was said to be dead, then who
+// was not pinged for longest. Members begin at different places, so that each suspect soon hears from some.
+func (n *Node) nextCall(now time.Duration) int {
+	best := -1
+	for k := range n.suspects {
+		i := n.suspects[(k+n.cfg.Self)%len(n.suspects)]
+		m := &n.members[i]
+		if m.callFrom > 0 && now >= n.mayCall(m) && (best < 0 || m.callsBefore(&n.members[best].suspicion)) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (s *suspicion) callsBefore(o *suspicion) bool {
+	if s.firstHand != o.firstHand {
+		return s.firstHand
+	}
+	if s.told != o.told {
+		return s.told
+	}
+	return s.calledAt < o.calledAt
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -17,9 +17,9 @@
 	}
 	since, calm := now-n.askedAt, now-n.newsAt
 	interval := n.cfg.Interval
-	young := !n.synced && now-n.started < 5*interval && (n.askedAt == 0 || since > interval/2)
+	fresh := !n.synced && now-n.started < young*interval && (n.askedAt == 0 || since > interval/2)
 	settled := calm > interval*3/2 && since > 2*interval
-	if young || settled || since > 5*interval {
+	if fresh || settled || since > 5*interval {
 		n.askedAt = now
 		n.counts.Syncs++
 		n.send(now, wirepb.Kind_KIND_SYNC_ASK, from, 0, -1, 0)
@@ -52,8 +52,8 @@
 	}
 }
 
-// merge takes what another holds of a member. It beats what is held here as a rumour does, but a death is not
-// believed at second hand of a member that was heard before: it is suspected, and told so.
+// merge takes what another holds of a member. It beats what is held here as a rumour does, but who has been in service
+// for a while, or heard from the member, does not believe its death at second hand: it doubts, and says so to the member.
 func (n *Node) merge(now time.Duration, about int, s State, incarnation uint64, from int) {
 	n.synced = true
 	if about == n.cfg.Self {
@@ -67,10 +67,8 @@
 		if s.Serves() && incarnation == m.incarnation && !m.state.Serves() {
 			n.notify(now, about) // one of us is wrong: the member itself decides
 		}
-	case s == Dead && m.heard > 0 && m.state.Serves():
-		if m.state == Alive {
-			n.set(now, about, Suspect, max(incarnation, m.incarnation), from, true)
-		}
+	case s == Dead && m.state.Serves() && (m.heard > 0 || now-n.started > young*n.cfg.Interval):
+		n.doubt(now, about, incarnation, from)
 		n.notify(now, about)
 	default:
 		n.set(now, about, s, incarnation, from, m.state.Serves() == s.Serves())
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -25,11 +25,8 @@
 			s = Suspect
 		}
 	}
-	if s == Dead && m.state == Alive && incarnation >= m.incarnation {
-		// Ours: who never heard of a suspicion asks for itself first, for an interval. A rumour from beyond a cut that
-		// healed must not kill a member among those who have been in touch with it all the while.
-		n.set(now, about, Suspect, incarnation, by, true)
-		m.told = true
+	if s == Dead && incarnation >= m.incarnation && (m.state == Alive || m.told) {
+		n.doubt(now, about, incarnation, by) // ours: who never heard of a suspicion asks for itself first
 		return
 	}
 	if s == Suspect && m.state == Suspect && incarnation == m.incarnation {
