--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 # The datagrams' form; needs protoc and protoc-gen-go.
 proto:
-	protoc --go_out=. --go_opt=paths=source_relative internal/membership/wirepb/wire.proto internal/spread/spreadpb/digest.proto
+	protoc --go_out=. --go_opt=paths=source_relative internal/membership/wirepb/wire.proto internal/spread/spreadpb/digest.proto internal/rollout/rolloutpb/rollout.proto
 
 clean:
 	rm -rf bin logs logs*
--- a/cmd/frostpier/main.go
+++ b/cmd/frostpier/main.go
@@ -9,9 +9,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"frostpier/internal/program"
 )
 
 func main() {
+	if len(os.Args) > 1 { // the platform starts it without arguments
+		os.Exit(command(os.Args[1:]))
+	}
 	level := slog.LevelInfo
 	if os.Getenv("FROSTPIER_DEBUG") != "" {
 		level = slog.LevelDebug
@@ -21,7 +26,7 @@
 	defer stop()
 	hup := make(chan os.Signal, 1) // without it SIGHUP would end the program
 	signal.Notify(hup, syscall.SIGHUP)
-	if err := run(term, hup, log); err != nil {
+	if err := program.Run(term, hup, log, program.Hooks{}); err != nil {
 		log.Error("cannot serve", "error", err)
 		fmt.Fprintln(os.Stderr, "frostpier:", err)
 		os.Exit(1)
--- a/cmd/frostpier/program_test.go
+++ b/cmd/frostpier/program_test.go
@@ -17,6 +17,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"frostpier/internal/program"
+	"frostpier/internal/standin"
 )
 
 // patience bounds what a test waits for; nothing is expected to take this long.
@@ -27,11 +30,19 @@
 	if os.Getenv("FROSTPIER_AS_PROGRAM") == "" {
 		os.Exit(m.Run())
 	}
+	if len(os.Args) > 1 {
+		os.Exit(command(os.Args[1:]))
+	}
+	hooks, err := standin.Hooks()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	if err := run(term, hup, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))); err != nil {
+	if err := program.Run(term, hup, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})), hooks); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/cmd/frostpier/rollout_test.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"frostpier/internal/controller"
+	"frostpier/internal/rig"
+	"frostpier/internal/rollout"
+	"frostpier/internal/standin"
+)
+
+// Twelve processes of the program under load, and changes of it that go out in stages. Verdicts are what the controller
+// decides and what clients got, not times; waits are bounded by many times what is expected.
+const (
+	changeGateways = 12
+	changeMost     = 3 * time.Minute
+)
+
+func startChange(t *testing.T, opt rig.ChangeOptions) *rig.Change {
+	t.Helper()
+	opt.Gateways, opt.Engines, opt.Cores, opt.Load = changeGateways, 4, 8, 0.5
+	opt.Dir, opt.Program = t.TempDir(), []string{os.Args[0]}
+	opt.Env = append([]string{"FROSTPIER_AS_PROGRAM=1"}, standin.OwnerEnv()...)
+	if opt.Stages == nil {
+		opt.Stages = []string{"2", "100%"}
+	}
+	if opt.LeastS == 0 {
+		opt.LeastS, opt.MostS = 7, 60
+	}
+	c, err := rig.NewChange(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := c.Close(); err != nil {
+			t.Error(err)
+		}
+		logs, _ := filepath.Glob(filepath.Join(opt.Dir, "rollout", "logs", "*.log"))
+		for _, path := range append(logs, filepath.Join(opt.Dir, "controller.log")) {
+			text, _ := os.ReadFile(path)
+			if strings.Contains(string(text), "panic") || strings.Contains(string(text), "DATA RACE") {
+				t.Errorf("%s:\n%s", path, text)
+			}
+		}
+		if t.Failed() {
+			text, _ := os.ReadFile(filepath.Join(opt.Dir, "controller.log"))
+			t.Logf("the controller's log:\n%s", text)
+		}
+	})
+	c.Send(changeMost)
+	return c
+}
+
+// carry carries the change to its end in this process.
+func carry(t *testing.T, c *rig.Change) rollout.State {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), changeMost)
+	defer cancel()
+	s, err := c.Carry(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// answered checks that every request had one whole answer; lost ones are allowed where a gateway was killed.
+func answered(t *testing.T, c *rig.Change, killed bool) map[standin.Verdict]int {
+	t.Helper()
+	ends := map[standin.Verdict]int{}
+	for _, o := range c.Hush() {
+		ends[o.Verdict]++
+		if o.Twice > 0 {
+			t.Errorf("a request was answered %d times more", o.Twice)
+		}
+	}
+	if !killed && ends[standin.Lost]+ends[standin.Unanswered] > 0 {
+		t.Errorf("lost or unanswered: %v", ends)
+	}
+	return ends
+}
+
+// A good change goes through: no request is lost, none is answered twice, and never are more gateways out of service than
+// the plan allows.
+func TestGoodChangeGoesThrough(t *testing.T) {
+	c := startChange(t, rig.ChangeOptions{Seed: 1})
+	s := carry(t, c)
+	ends := answered(t, c, false)
+	t.Logf("%s, %v", s.Phase, ends)
+	if s.Phase != rollout.Done || ends[standin.Spoilt] > 0 {
+		t.Errorf("%s: %s; %v", s.Phase, s.Reason, ends)
+	}
+	st, err := controller.Last(c.State)
+	if err != nil || st.On[rollout.NewVersion] != changeGateways {
+		t.Errorf("status: %+v, %v", st, err)
+	}
+}
+
+// Whatever is bad about a new version, it is stopped in its first stage, and all gateways are on the old one again.
+func TestBadChangesAreTakenBack(t *testing.T) {
+	for _, fault := range standin.Faults() {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			c := startChange(t, rig.ChangeOptions{Seed: 2, Fault: fault, LeastS: 15, MostS: 100})
+			s := carry(t, c)
+			ends := answered(t, c, true)
+			t.Logf("%s: %s; %v", s.Phase, s.Reason, ends)
+			if s.Phase != rollout.Returned || s.Stage != 0 {
+				t.Errorf("%s in stage %d: %s", s.Phase, s.Stage+1, s.Reason)
+			}
+			st, err := controller.Last(c.State)
+			if err != nil || st.On[rollout.OldVersion] != changeGateways {
+				t.Errorf("status: %+v, %v", st, err)
+			}
+		})
+	}
+}
+
+// Settings alone change without a start: no process ends.
+func TestSettingsChangeWhileRunning(t *testing.T) {
+	c := startChange(t, rig.ChangeOptions{Seed: 3, Settings: "\n# a comment makes another file\n"})
+	before := controller.Processes(c.Checked.Fleet)
+	s := carry(t, c)
+	ends := answered(t, c, false)
+	if s.Phase != rollout.Done {
+		t.Errorf("%s: %s; %v", s.Phase, s.Reason, ends)
+	}
+	for i, pid := range controller.Processes(c.Checked.Fleet) {
+		if pid != before[i] {
+			t.Errorf("gateway %d was process %d and is %d", i, before[i], pid)
+		}
+	}
+}
+
+// A controller that is killed again and again, wherever it is, leaves a change that the next one takes up; a second one
+// beside it is refused.
+func TestControllerIsKilled(t *testing.T) {
+	c := startChange(t, rig.ChangeOptions{Seed: 4, Stages: []string{"2", "5", "100%"}, LeastS: 3, MostS: 60})
+	command, env := []string{os.Args[0]}, append([]string{"FROSTPIER_AS_PROGRAM=1"}, standin.OwnerEnv()...)
+	run := func() (*exec.Cmd, chan error) {
+		cmd, err := c.Start(command, env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- cmd.Wait() }()
+		return cmd, ended
+	}
+	for _, after := range []time.Duration{300, 900, 1700, 2600, 3100, 4500} {
+		cmd, ended := run()
+		select {
+		case err := <-ended:
+			t.Fatalf("it ended by itself: %v", err)
+		case <-time.After(after * time.Millisecond):
+		}
+		if err := cmd.Process.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		<-ended
+	}
+	cmd, ended := run()
+	defer cmd.Process.Kill()
+	deadline := time.After(patience)
+	for second := exitDone; second != exitBusy; {
+		select {
+		case err := <-ended:
+			t.Fatalf("it ended by itself: %v", err)
+		case <-deadline:
+			t.Fatal("a second controller was not refused")
+		case <-time.After(100 * time.Millisecond):
+		}
+		if _, err := controller.Tell(c.State, "status"); err != nil {
+			continue // the first has not opened its journal yet
+		}
+		other, err := c.Start(command, env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other.Wait()
+		second = other.ProcessState.ExitCode()
+	}
+	select {
+	case <-ended:
+	case <-time.After(changeMost):
+		t.Fatal("the change does not end")
+	}
+	if code := cmd.ProcessState.ExitCode(); code != exitDone {
+		t.Errorf("exit code %d", code)
+	}
+	answered(t, c, false)
+	starts, err := controller.History(c.State, "")
+	if err != nil || len(starts) == 0 {
+		t.Errorf("history: %d lines, %v", len(starts), err)
+	}
+	st, err := controller.Last(c.State)
+	if err != nil || st.State.Phase != rollout.Done || st.On[rollout.NewVersion] != changeGateways {
+		t.Errorf("status: %+v, %v", st, err)
+	}
+}
+
+// A third of the gateways cut off from the controller, a gateway killed and an engine silent in mid-stage are not blamed on
+// the change; an operator's abort takes it back.
+func TestTroublesOfTheStageAreNotBlamed(t *testing.T) {
+	c := startChange(t, rig.ChangeOptions{Seed: 5, LeastS: 10, MostS: 90})
+	order := c.Checked.Plan.Order(changeGateways)
+	time.AfterFunc(5*time.Second, func() {
+		c.Cut(order[0][0], order[1][0], order[1][1], order[1][2])
+		c.Pool.Engines()[0].Silence(true)
+		if pid := controller.Processes(c.Checked.Fleet)[order[0][1]]; pid > 0 {
+			if p, err := os.FindProcess(pid); err == nil {
+				p.Kill()
+			}
+		}
+		time.AfterFunc(8*time.Second, func() {
+			c.Cut()
+			c.Pool.Engines()[0].Silence(false)
+		})
+	})
+	s := carry(t, c)
+	ends := answered(t, c, true)
+	t.Logf("%s: %s; %v", s.Phase, s.Reason, ends)
+	if s.Phase != rollout.Done {
+		t.Errorf("%s: %s", s.Phase, s.Reason)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,6 +92,7 @@
 	replied  bool
 	begun    bool // a part of the answer went out: there is no other attempt
 	taken    time.Duration
+	aim      time.Duration // in which an answer is wanted, as far as the estimate tells
 	class    int
 	why      policy.Guard // that kept it in line when that was last recorded
 }
@@ -118,11 +119,26 @@
 	open     int // requests without an answer
 	out      int // attempts
 	counts   Counts
+	byClass  []ClassCounts
 	actions  []Action
 	digest   *spread.Digest // what gateways tell each other of engines; nil where they do not
 	sampled  time.Duration  // when it was last recorded what keeps requests in line
 }
 
+// ClassCounts is what happened to one class so far: how a version of the program does.
+type ClassCounts struct {
+	Taken   uint64
+	InTime  uint64 // served within the aim
+	Late    uint64 // served after it
+	Refused uint64
+	Failed  uint64
+	Fast    uint64 // served within a quarter of the aim
+	Further uint64 // attempts beyond a request's first
+}
+
+// fastShare is the share of the aim within which an answer counts as fast: a version that is slower shows there first.
+const fastShare = 4
+
 // Counts is what happened so far, for the log.
 type Counts struct {
 	Taken, Served, Refused, Failed, Left, Attempts, Further int
@@ -135,7 +151,8 @@
 		return nil, fmt.Errorf("decision module: %w", err)
 	}
 	c := &Core{gateway: gateway, host: host, log: log, keep: keep, requests: map[ID]*request{},
-		engines: map[policy.EngineID]*Engine{}, classes: map[string]int{}, names: map[string]bool{}}
+		engines: map[policy.EngineID]*Engine{}, classes: map[string]int{}, names: map[string]bool{},
+		byClass: make([]ClassCounts, len(host.Module.Classes))}
 	for i, class := range host.Module.Classes {
 		c.classes[class.Name] = i
 	}
@@ -160,13 +177,34 @@
 // Counts tells what happened so far.
 func (c *Core) Counts() Counts { return c.counts }
 
+// ByClass tells what happened to each class so far; the list is the Core's own.
+func (c *Core) ByClass() []ClassCounts { return c.byClass }
+
+// aim is the time in which an answer is wanted; the work is known by its estimate only.
+func (c *Core) aim(a Ask) time.Duration {
+	if a.Class < 0 || a.Class >= len(c.byClass) {
+		return 0
+	}
+	k := c.host.Module.Classes[a.Class]
+	return k.Aim + time.Duration(k.AimStretch*float64(a.Cost)/float64(max(1, k.Threads)))
+}
+
+// classOf is what is counted of a request's class; one of no class counts nowhere.
+func (c *Core) classOf(r *request) *ClassCounts {
+	if r.class < 0 || r.class >= len(c.byClass) {
+		return &ClassCounts{}
+	}
+	return &c.byClass[r.class]
+}
+
 // Take takes a request in and gives it its number. One whose name another bears that is not over fails: the engines
 // could not tell them apart, and news or the end of the one would be taken for the other's.
 func (c *Core) Take(now time.Duration, a Ask) (ID, []Action) {
 	c.next++
 	id := c.next
 	twin := a.Name != "" && c.names[a.Name]
-	c.requests[id] = &request{end: now + a.Remaining, taken: now, class: a.Class}
+	c.requests[id] = &request{end: now + a.Remaining, taken: now, aim: c.aim(a), class: a.Class}
+	c.classOf(c.requests[id]).Taken++
 	c.open++
 	c.counts.Taken++
 	if twin {
@@ -347,6 +385,7 @@
 	c.counts.Attempts++
 	if n > 0 {
 		c.counts.Further++
+		c.classOf(r).Further++
 	}
 	c.recordSend(now, s.ID, n)
 	c.actions = append(c.actions, Start{ID: s.ID, Attempt: n, Engine: *e, Timeout: s.Timeout})
@@ -365,13 +404,23 @@
 			"attempts", len(r.attempts), "took_ms", int64((now-r.taken)/time.Millisecond),
 			"left_ms", int64((r.end-now)/time.Millisecond), "why", r.why)
 	}
-	switch v {
-	case Served:
+	k, took := c.classOf(r), now-r.taken
+	switch {
+	case v == Served && took <= r.aim:
+		c.counts.Served++
+		k.InTime++
+		if took <= r.aim/fastShare {
+			k.Fast++
+		}
+	case v == Served:
 		c.counts.Served++
-	case Refused:
+		k.Late++
+	case v == Refused:
 		c.counts.Refused++
+		k.Refused++
 	default:
 		c.counts.Failed++
+		k.Failed++
 	}
 	c.actions = append(c.actions, Reply{ID: id, Verdict: v, ComeBack: min(back, c.host.ComeBack),
 		Late: r.end-now <= lateTicks*c.host.Module.Tick})
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -185,6 +185,18 @@
 	n.plan(now)
 }
 
+// Adjust sets the times that may change while the protocol runs; 0 means the default. Those that make no sense change
+// nothing.
+func (n *Node) Adjust(timeout, suspect time.Duration) error {
+	next := n.cfg
+	next.Timeout, next.Suspect = timeout, suspect
+	if err := next.check(); err != nil {
+		return fmt.Errorf("membership: %w", err)
+	}
+	n.cfg = next
+	return nil
+}
+
 // Leave tells the others that this member goes out of service. It goes on answering until the process ends.
 func (n *Node) Leave(now time.Duration) {
 	if n.leaving || !n.begun {
--- a/internal/netio/members.go
+++ b/internal/netio/members.go
@@ -6,9 +6,11 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"frostpier/internal/invariant"
 	"frostpier/internal/membership"
+	"frostpier/internal/rollout"
 	"frostpier/internal/spread"
 )
 
@@ -21,6 +23,8 @@
 	InService(gateways int)
 	// HeardOfEngines is called with each message of another gateway's digest.
 	HeardOfEngines(body []byte)
+	// HeardOfVersion is called with each word of another gateway on its version.
+	HeardOfVersion(member int, body []byte)
 }
 
 // Members drives the membership protocol over UDP.
@@ -61,6 +65,17 @@
 	m.carryOut()
 }
 
+// Adjust is called on the loop, for times that may change while the protocol runs; 0 means the default.
+func (m *Members) Adjust(timeout, suspect time.Duration) error {
+	return m.node.Adjust(timeout, suspect)
+}
+
+// Serves tells whether a member is held to be in service. It is called on the loop.
+func (m *Members) Serves(member int) bool {
+	state, _ := m.node.Member(member)
+	return state.Serves()
+}
+
 // Stop is called on the loop.
 func (m *Members) Stop() {
 	m.alarm.Stop()
@@ -79,9 +94,13 @@
 		}
 	}
 	for _, e := range m.node.Events() {
-		if e.Kind == membership.Carried && e.Rider == spread.RiderKind {
+		switch {
+		case e.Kind == membership.Carried && e.Rider == spread.RiderKind:
 			m.to.HeardOfEngines(e.Body)
 			continue
+		case e.Kind == membership.Carried && e.Rider == rollout.RiderKind:
+			m.to.HeardOfVersion(e.Member, e.Body)
+			continue
 		}
 		m.tell(e)
 	}
--- a/cmd/frostpier/operator.go
+++ b/internal/program/operator.go
@@ -1,4 +1,4 @@
-package main
+package program
 
 import (
 	"fmt"
@@ -75,7 +75,7 @@
 // members makes the membership protocol's driver: numbers and addresses come from the configuration, times from the
 // operator's file.
 func members(op *settings.Membership, conf settings.Config, host settings.Host, loop *netio.Loop, log *slog.Logger,
-	keep *invariant.Keeper, digest *spread.Digest, to netio.Listener) (*netio.Members, error) {
+	keep *invariant.Keeper, riders []membership.Rider, often bool, to netio.Listener) (*netio.Members, error) {
 	listen, peers, err := conf.PeerAddrs()
 	if err != nil {
 		return nil, fmt.Errorf("membership: %w", err)
@@ -84,10 +84,9 @@
 		return nil, fmt.Errorf("membership: %d peers, but the settings tell of %d gateways", len(peers), host.Module.Siblings)
 	}
 	interval, timeout, suspect := op.Times()
-	var riders []membership.Rider
 	ride := time.Duration(0)
-	if digest != nil {
-		riders, ride = append(riders, digest), spread.Every
+	if often {
+		ride = spread.Every
 	}
 	node, err := membership.New(membership.Config{Riders: riders, Ride: ride, Self: host.Module.Number, Peers: peers, Fleet: op.Fleet,
 		Seed: conf.SeedNumber(), Interval: interval, Timeout: timeout, Suspect: suspect})
--- a/cmd/frostpier/run.go
+++ b/internal/program/run.go
@@ -1,4 +1,6 @@
-package main
+// Package program wires frostpier's parts together: a gateway from its configuration to its planned stop. cmd/frostpier
+// is the program; tests and cmd/fleetlab run the same with faults in it.
+package program
 
 import (
 	"bytes"
@@ -33,8 +35,15 @@
 	statsEvery = 10 * time.Second
 )
 
-// run serves until term ends and what was taken is answered; with each hup it reads the configuration again.
-func run(term context.Context, hup <-chan os.Signal, log *slog.Logger) error {
+// Hooks change a gateway for tests, so that a version that does worse can be had without building one. The program itself
+// runs with none.
+type Hooks struct {
+	Host func(*settings.Host) // changes the settings before the decision module is made
+	Loop func(*netio.Loop)    // is called once the loop runs
+}
+
+// Run serves until term ends and what was taken is answered; with each hup it reads the configuration again.
+func Run(term context.Context, hup <-chan os.Signal, log *slog.Logger, hooks Hooks) error {
 	conf, err := readConfig()
 	if err != nil {
 		return err
@@ -46,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	if hooks.Host != nil {
+		hooks.Host(&host)
+	}
 	operator, err := readOperator()
 	if err != nil {
 		return err
@@ -86,6 +98,12 @@
 			return err
 		}
 	}
+	p.operator = operator
+	if operator.Rollout != nil {
+		if p.version, err = newVersion(operator, host, conf, loop, log, heart); err != nil {
+			return err
+		}
+	}
 	if op := operator.Membership; op != nil && !host.PeerMessages {
 		log.Warn("membership stays off: the settings do not permit messages between gateways", "key", "permissions.peer_messages")
 	} else if op != nil {
@@ -93,7 +111,11 @@
 			p.digest = spread.New()
 			heart.Share(p.digest)
 		}
-		if p.members, err = members(op, conf, host, loop, log, keep, p.digest, gateway); err != nil {
+		to := peers{Gateway: gateway}
+		if p.version != nil {
+			to.mix = p.version.mix
+		}
+		if p.members, err = members(op, conf, host, loop, log, keep, p.riders(), p.digest != nil, to); err != nil {
 			return err
 		}
 	}
@@ -101,6 +123,9 @@
 	defer cancel()
 	p.cancel = cancel
 	go loop.Run(ctx)
+	if hooks.Loop != nil {
+		hooks.Loop(loop)
+	}
 	loop.Do(func() {
 		loop.WatchLag()
 		if p.members != nil {
@@ -112,17 +137,24 @@
 		p.feed.Follow(conf.Bulletin)
 		p.stats()
 	})
+	if p.version != nil { // who watches it hears of the process before it serves
+		loop.Do(func() { p.version.serve(false) })
+	}
 	if err := clients.Serve(conf.Listen); err != nil {
 		return err
 	}
 	if err := p.startMySQL(); err != nil {
 		return err
 	}
+	if p.version != nil {
+		loop.Do(func() { p.version.serve(true) })
+	}
 	log.Info("serving", "name", conf.Name, "listen", conf.Listen, "bulletin", conf.Bulletin, "events", len(known))
 	for serving := true; serving; {
 		select {
 		case <-hup:
 			p.reload(conf)
+			p.reloadOperator()
 		case <-term.Done():
 			serving = false
 		}
@@ -150,19 +182,21 @@
 
 // program is what a stop has to reach.
 type program struct {
-	loop    *netio.Loop
-	gateway *netio.Gateway
-	clients *netio.Clients
-	mysql   *netio.MySQLFront // nil where it is off
-	standby *netio.Standby    // likewise
-	members *netio.Members    // likewise
-	digest  *spread.Digest    // likewise
-	keep    *invariant.Keeper
-	log     *slog.Logger
-	stream  *bulletin.Stream
-	feed    *netio.Feed
-	longest time.Duration // deadline that a stop reckons with
-	cancel  func()
+	loop     *netio.Loop
+	gateway  *netio.Gateway
+	clients  *netio.Clients
+	mysql    *netio.MySQLFront // nil where it is off
+	standby  *netio.Standby    // likewise
+	members  *netio.Members    // likewise
+	digest   *spread.Digest    // likewise
+	version  *version          // likewise
+	keep     *invariant.Keeper
+	log      *slog.Logger
+	stream   *bulletin.Stream
+	feed     *netio.Feed
+	longest  time.Duration     // deadline that a stop reckons with
+	operator settings.Operator // in force
+	cancel   func()
 }
 
 var errNoBulletin = errors.New("it names no bulletin")
@@ -257,6 +291,9 @@
 func (p *program) drain() {
 	p.log.Info("stopping", "open", p.gateway.Core.Open(), "out", p.gateway.Core.Out())
 	p.clients.Drain()
+	if p.version != nil {
+		p.version.serve(false)
+	}
 	if p.members != nil {
 		p.members.Leave() // at once: the others take its part over while it answers what it has taken
 	}
@@ -276,6 +313,9 @@
 
 func (p *program) end() {
 	p.clients.Finish()
+	if p.version != nil {
+		p.version.reporter.Stop()
+	}
 	if p.members != nil {
 		p.members.Stop()
 	}
@@ -296,6 +336,7 @@
 		if p.digest != nil {
 			p.log.Info("spread counts", "total", p.digest.Counts())
 		}
+		p.logMix()
 		p.log.Info("counts", "total", c.Counts(), "open", c.Open(), "out", c.Out(), "lag", p.loop.Lag(), "invariants", p.keep.Broken())
 		p.stats()
 	})
--- a/cmd/frostpier/run_test.go
+++ b/internal/program/run_test.go
@@ -1,4 +1,4 @@
-package main
+package program
 
 import (
 	"bytes"
@@ -72,7 +72,7 @@
 	} {
 		conf, host := good, settings.Host{Module: policy.Settings{Siblings: 2}}
 		change(&conf, &host)
-		m, err := members(&settings.Membership{Fleet: "f"}, conf, host, netio.NewLoop(time.Now(), 1), log, invariant.New(log), nil, nil)
+		m, err := members(&settings.Membership{Fleet: "f"}, conf, host, netio.NewLoop(time.Now(), 1), log, invariant.New(log), nil, false, nil)
 		if m != nil {
 			m.Stop()
 		}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -166,6 +166,17 @@
 // Size is how many gateways there are.
 func (f *Fleet) Size() int { return len(f.gateways) }
 
+// Configs writes the configurations of all gateways and returns a pattern that names them: for a fleet whose processes
+// something else starts.
+func (f *Fleet) Configs() (pattern string, err error) {
+	for i := range f.gateways {
+		if _, err := f.config(i); err != nil {
+			return "", err
+		}
+	}
+	return filepath.Join(f.opt.Dir, "n*.json"), nil
+}
+
 // Start starts a gateway from nothing.
 func (f *Fleet) Start(i int) error {
 	conf, err := f.config(i)
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -16,6 +17,47 @@
 	VRRP       *VRRP       `toml:"vrrp"`
 	Membership *Membership `toml:"membership"`
 	Spread     *Spread     `toml:"spread"`
+	Rollout    *Rollout    `toml:"rollout"`
+}
+
+// Rollout has the gateway tell the controller of a staged change how it does, and the other gateways its version.
+type Rollout struct {
+	ReportTo netip.AddrPort `toml:"report_to"` // where the controller listens, by UDP
+	ReportMS int64          `toml:"report_ms"` // between two reports; 0 = 1000
+}
+
+// Every is the time between two reports.
+func (r Rollout) Every() time.Duration {
+	if r.ReportMS == 0 {
+		return time.Second
+	}
+	return time.Duration(r.ReportMS) * time.Millisecond
+}
+
+func (r Rollout) check() error {
+	switch {
+	case !r.ReportTo.IsValid() || r.ReportTo.Port() == 0 || !r.ReportTo.Addr().IsLoopback():
+		return fmt.Errorf("operator's file: rollout.report_to: %q is no address of this machine with a port", r.ReportTo)
+	case r.ReportMS != 0 && (r.ReportMS < 50 || r.ReportMS > 60_000):
+		return fmt.Errorf("operator's file: rollout.report_ms: %d is not between 50 and 60000", r.ReportMS)
+	}
+	return nil
+}
+
+// Live tells whether all that differs from another file may change while the program runs: membership's timeout_ms and
+// suspect_ms, and whether a digest that the start began is told.
+func (o Operator) Live(next Operator) bool {
+	if (o.Membership == nil) != (next.Membership == nil) || o.Spread == nil && next.Spread != nil {
+		return false
+	}
+	a, b := o, next
+	a.Spread, b.Spread = nil, nil
+	if a.Membership != nil {
+		m := *b.Membership
+		m.TimeoutMS, m.SuspectMS = a.Membership.TimeoutMS, a.Membership.SuspectMS
+		b.Membership = &m
+	}
+	return reflect.DeepEqual(a, b)
 }
 
 // Spread has the gateways tell each other what engines report of their load. It needs membership, whose datagrams
@@ -113,6 +155,14 @@
 			return o, err
 		}
 	}
+	if o.Rollout != nil {
+		if err := o.Rollout.check(); err != nil {
+			return o, err
+		}
+	}
+	if o.Rollout != nil && o.Membership == nil {
+		return o, fmt.Errorf("operator's file: rollout without membership has no fleet's name")
+	}
 	if o.Spread != nil && o.Membership == nil {
 		return o, fmt.Errorf("operator's file: spread without membership has nothing to ride on")
 	}
--- a/internal/spread/digest.go
+++ b/internal/spread/digest.go
@@ -59,6 +59,7 @@
 	byShort map[uint32]*held
 	order   []*held // freshest first when it was last sorted
 	msg     spreadpb.Digest
+	mute    bool
 	counts  Counts
 }
 
@@ -136,9 +137,15 @@
 // Kind is for membership.
 func (d *Digest) Kind() uint32 { return RiderKind }
 
+// Mute has nothing told and nothing heard, or both again.
+func (d *Digest) Mute(on bool) { d.mute = on }
+
 // Ride writes the freshest words, as many as fit. What was told of late gives way to what was not, within the same
 // half second: else all would pass on the same few.
 func (d *Digest) Ride(now time.Duration, _, room int, dst []byte) []byte {
+	if d.mute {
+		return dst
+	}
 	m := &d.msg
 	m.Engine, m.Load, m.Age, m.Base = m.Engine[:0], m.Load[:0], m.Age[:0], uint64(now/step)
 	slices.SortFunc(d.order, func(a, b *held) int {
@@ -174,6 +181,9 @@
 
 // Hear takes a message of another gateway and returns the words that are news here.
 func (d *Digest) Hear(now time.Duration, body []byte) []Word {
+	if d.mute {
+		return nil
+	}
 	var m spreadpb.Digest
 	if proto.Unmarshal(body, &m) != nil || len(m.Engine) != 4*len(m.Load) || len(m.Age) != len(m.Load) ||
 		m.Base > mostBase {
