--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,6 +16,7 @@
 	// Admission.
 	targetThreads = 1.5                    // threads a core wanted at an engine: reading leaves cores free
 	denseRoom     = 1.4                    // times the limit, for queries worth much for their work
+	guessRoom     = 2.5                    // targets more in a limit, as one of many: others are guesses then
 	fullUtil      = 0.9                    // share of busy cores up to which others leave room
 	adjustEvery   = 300 * time.Millisecond // between two moves of an engine's target: about a report's age
 	easeStep      = 0.04                   // of one move
@@ -331,7 +332,7 @@
 	if !g.told {
 		return target / g.inService
 	}
-	return max(target/g.inService, target-g.others(e))
+	return max(target/g.inService, target*(1+guessRoom*max(0, 2*g.unseen-1))-g.others(e))
 }
 
 // target is how many threads all gateways together should have out at an engine.
@@ -1006,8 +1007,7 @@
 	return e.sentWork.total(g.now, ru.FallSpan+g.s.Tick)+g.coldCharge(r) <= part
 }
 
-// coldCharge is what a query counts against the cold budget: its expected work, and no less than half the
-// usual of its class, as estimates may lie; some more because a cold engine reads more.
+// coldCharge is what a query counts there: its work, half its class's usual at least; cold engines read more.
 func (g *Gateway) coldCharge(r *request) float64 {
 	return coldWork * max(g.work(r), r.class.usual/2)
 }
