--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -10,9 +10,12 @@
 )
 
 type commands struct {
+	Demo     demoCommand     `cmd:"" help:"Show the program at work for half a minute: a few gateways, stand-in engines, one of each killed."`
 	Run      runCommand      `cmd:"" help:"Play a scenario on a fleet of processes of the program."`
 	Simulate simulateCommand `cmd:"" help:"Measure membership on a virtual clock, beside a heartbeat detector."`
 	Spread   spreadCommand   `cmd:"" help:"Compare how evenly versions of the program load stand-in engines."`
+	Rollout  rolloutCommand  `cmd:"" help:"Play good and bad changes in stages on fleets of processes."`
+	Gateway  gatewayCommand  `cmd:"" hidden:"" help:"Serve as the program does, with the fault that the environment names."`
 	Account  accountCommand  `cmd:"" help:"Account for what a fleet lost, from the logs of its gateways."`
 	Replay   replayCommand   `cmd:"" help:"Play the random runs of some seeds on a virtual clock, with every rule checked."`
 }
--- a/cmd/frostpier/spread_test.go
+++ b/cmd/frostpier/spread_test.go
@@ -1,3 +1,7 @@
+//go:build !debug
+
+// Without -tags debug alone: with both CI would take too long, and fleet_test.go plays fleets with it.
+
 package main
 
 import (
