Wait before another accept where a stand-in engine has no descriptor left

Cause: fleetlab spread with 300 plain gateways and 80 engines needs 48,000 descriptors in one process of 20,000; accept failed at once again and again in 80 goroutines, which kept the cores from all else, and the run never ended.

--- a/cmd/fleetlab/spread.go
+++ b/cmd/fleetlab/spread.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,6 +24,7 @@
 	Skew     float64  `default:"1" help:"Deviation of the gateways' shares of the traffic over their mean."`
 	Case     string   `default:"calm" enum:"calm,hot,lost,release,reports,cut,herd" help:"What happens: calm, hot (one table group has half of the queries), lost (an engine falls silent), release (six in ten engines are replaced within 7 s), reports (they come 5 s late), cut (gateways do not hear each other), herd (seven in ten gateways are killed at once)."`
 	Program  []string `default:"now=bin/frostpier" help:"Programs to compare, as name=path."`
+	Bare     []string `help:"Of these programs, by name, gateways get no operator's file: for versions from before membership."`
 	Plain    bool     `default:"true" negatable:"" help:"Compare with plain gateways too: random, and least reported load."`
 	Seed     uint64   `default:"1" help:"Of all chance."`
 	Out      string   `default:"found/fleetlab" help:"The folder for tables and logs."`
@@ -137,7 +139,7 @@
 	}
 	defer pool.Close()
 	f, err := rig.New(rig.Options{Gateways: c.Gateways, Seed: c.Seed, Dir: logs, Command: []string{path}, Engines: pool.Roster(),
-		Link: rig.Network{DelayMS: [2]int64{1, 38}}.Link(), Operator: "\n[spread]\n",
+		Link: rig.Network{DelayMS: [2]int64{1, 38}}.Link(), Operator: "\n[spread]\n", Bare: slices.Contains(c.Bare, name),
 		Settings: func(n, self int) string { return standin.Settings(traffic.Classes, n, self, c.Cores) }})
 	if err != nil {
 		return out, err
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -25,6 +25,7 @@
 	Engines  []Engine
 	Settings func(gateways, self int) string // the platform's settings object; nil = one class and no engine's figures
 	Operator string                          // further sections of the operator's file, as TOML
+	Bare     bool                            // no operator's file: for programs from before there was membership
 }
 
 // Fleet is a number of processes of the program, with what they need around them.
@@ -183,7 +184,11 @@
 	if err != nil {
 		return err
 	}
-	env := append([]string{"GW_CONFIG=" + conf, "FROSTPIER_OPERATOR=" + f.operator, "GW_LISTEN="}, f.opt.Env...)
+	operator := f.operator
+	if f.opt.Bare {
+		operator = ""
+	}
+	env := append([]string{"GW_CONFIG=" + conf, "FROSTPIER_OPERATOR=" + operator, "GW_LISTEN="}, f.opt.Env...)
 	return f.gateways[i].start(f.opt.Command, env, filepath.Join(f.opt.Dir, fmt.Sprintf("n%d.log", i)), len(f.gateways),
 		func(t Told) {
 			f.mu.Lock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -29,6 +29,8 @@
 	unasked  = 2 * time.Second        // a query that nobody has asked for in this time is given up
 	keepDone = 10 * time.Second       // a good end is given again for this long
 	sweep    = 500 * time.Millisecond
+
+	acceptAgain = 50 * time.Millisecond
 )
 
 // Engine serves a Model over the platform's HTTP protocol.
@@ -227,6 +229,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			time.Sleep(acceptAgain) // no descriptor is left: trying at once kept every core from those that would free one
 			continue
 		}
 		e.mu.Lock()
