--- a/internal/spread/digest_test.go
+++ b/internal/spread/digest_test.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"encoding/hex"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -201,3 +202,18 @@
 		t.Errorf("together %.1f engines known, %v old; alone %.1f, %v", known, age, fewer, older)
 	}
 }
+
+// The first version's message, as it wrote it: gateways of later programs read it while both are in service.
+const firstDigest = "0a080300000001000000120209041a020a142094d0918e8601"
+
+func TestFirstDigestIsRead(t *testing.T) {
+	body, err := hex.DecodeString(firstDigest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := listed(4)
+	words := d.Hear(epoch+time.Second, body)
+	if len(words) != 2 || words[0] != (Word{number(2), 9, epoch + 500*time.Millisecond}) || words[1] != (Word{number(0), 4, epoch}) {
+		t.Errorf("%+v", words)
+	}
+}
