Count no known query whose connection ended, as its gateway's crash counts already

Now an answer that is wrong, an error and no answer in time count; a connection that ends, or cannot be made, does not.

--- a/internal/controller/checks.go
+++ b/internal/controller/checks.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"net"
 	"slices"
 	"strings"
@@ -98,15 +99,14 @@
 		if conn == nil {
 			var err error
 			if conn, err = net.DialTimeout("tcp", k.gateways[i].Listen, time.Second); err != nil {
-				conn = nil
-				k.tell(ctx, i, n, rollout.Checked{Unserved: 1})
+				conn = nil // whether its process runs is looked at elsewhere
 				continue
 			}
 			lines = bufio.NewReader(conn)
 		}
 		began := time.Now()
 		result, well := one(conn, lines, id, c)
-		if took := time.Since(began); result.Unserved == 0 && took <= k.aims[n] {
+		if took := time.Since(began); result.Right+result.Wrong > 0 && took <= k.aims[n] {
 			result.InTime = 1
 			if took <= k.aims[n]/4 {
 				result.Fast = 1
@@ -127,7 +127,8 @@
 	}
 }
 
-// one asks once; well tells whether the connection may be used again.
+// one asks once; well tells whether the connection may be used again. Nothing is counted where the connection ended: a
+// gateway that died by chance and took a while to start again was blamed for the queries that it missed meanwhile.
 func one(conn net.Conn, lines *bufio.Reader, id int, c rollout.Check) (result rollout.Checked, well bool) {
 	var raw [8]byte
 	rand.Read(raw[:])
@@ -139,11 +140,15 @@
 	}
 	conn.SetDeadline(time.Now().Add(time.Duration(c.BudgetMS)*time.Millisecond + time.Second))
 	if _, err := conn.Write(append(call, '\n')); err != nil {
-		return rollout.Checked{Unserved: 1}, false
+		return rollout.Checked{}, false
 	}
 	line, err := lines.ReadBytes('\n')
-	if err != nil {
+	var late net.Error
+	switch {
+	case errors.As(err, &late) && late.Timeout():
 		return rollout.Checked{Unserved: 1}, false
+	case err != nil: // its process ended: that counts as a crash, and not here as well
+		return rollout.Checked{}, false
 	}
 	var answer struct {
 		ID     int `json:"id"`
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -293,3 +293,25 @@
 		t.Error("sent again to an engine that drains")
 	}
 }
+
+// What is counted by class is what a staged change is judged by: each answer once, by its class and its aim.
+func TestCountsByClass(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
+	for _, took := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second} {
+		id, _ := c.Take(start, ask)
+		c.MaySend(start, id, 0, false)
+		c.Ended(start+took, id, 0, policy.OK, nil)
+	}
+	c.Take(start, Ask{Class: 7, Remaining: time.Second}) // of no class: fails, and counts nowhere
+	id, _ := c.Take(start, ask)
+	c.Leave(start, id)
+	c.Take(start, Ask{Class: 1, Remaining: time.Millisecond})
+	want := ClassCounts{Taken: 4, InTime: 2, Late: 1, Fast: 1}
+	if got := c.ByClass()[0]; got != want {
+		t.Errorf("look-ups: %+v, want %+v", got, want)
+	}
+	if got := c.ByClass()[1]; got.Taken != 1 || got.Refused+got.Failed != 1 {
+		t.Errorf("loads: %+v", got)
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -93,3 +93,39 @@
 		t.Fatal("an unknown effect was taken")
 	}
 }
+
+// What of the operator's file may change while the program runs: two times of membership, and whether a digest that the
+// start began is told; all else waits for the next start.
+func TestLiveSettings(t *testing.T) {
+	parse := func(text string) Operator {
+		o, err := ParseOperator([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return o
+	}
+	const base = "[membership]\nfleet = \"f\"\n"
+	for _, c := range []struct {
+		from, to string
+		live     bool
+	}{
+		{base, base + "suspect_ms = 5000\ntimeout_ms = 300\n", true},
+		{base + "[spread]\n", base, true},
+		{base, base + "[spread]\n", false},
+		{base, base + "interval_ms = 1000\n", false},
+		{base, "[membership]\nfleet = \"g\"\n", false},
+		{base, "", false},
+		{"", base, false},
+		{base, base + "[rollout]\nreport_to = \"127.0.0.1:1\"\n", false},
+	} {
+		if got := parse(c.from).Live(parse(c.to)); got != c.live {
+			t.Errorf("%q to %q: %v", c.from, c.to, got)
+		}
+	}
+	for _, bad := range []string{base + "[rollout]\n", base + "[rollout]\nreport_to = \"10.0.0.1:1\"\n",
+		base + "[rollout]\nreport_to = \"127.0.0.1:1\"\nreport_ms = 1\n", "[rollout]\nreport_to = \"127.0.0.1:1\"\n"} {
+		if _, err := ParseOperator([]byte(bad)); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
