Read calls to stand-in engines in one place, and drop state that nothing read

What was there twice: the tests' engine of the platform and the stand-in engine read calls and wrote answers with the same lines; both use standin.ReadCall and standin.Answer now. What nothing read: the time a rollout machine was made, the mark of an operator's abort beside its reason, a count of dropped reports, an unused constant. Behaviour stays as it is.

--- a/cmd/frostpier/httpengine_test.go
+++ b/cmd/frostpier/httpengine_test.go
@@ -2,15 +2,15 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/textproto"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"frostpier/internal/standin"
 )
 
 // httpEngine stands in for an engine of the platform. What a statement's text holds tells what becomes of it:
@@ -62,22 +62,11 @@
 	defer nc.Close()
 	r := textproto.NewReader(bufio.NewReader(nc))
 	for {
-		line, err := r.ReadLine()
-		if err != nil {
-			return
-		}
-		head, err := r.ReadMIMEHeader()
+		call, err := standin.ReadCall(r)
 		if err != nil {
 			return
 		}
-		n, _ := strconv.Atoi(head.Get("Content-Length"))
-		body := make([]byte, n)
-		if _, err := io.ReadFull(r.R, body); err != nil {
-			return
-		}
-		method, rest, _ := strings.Cut(line, " ")
-		path, _, _ := strings.Cut(rest, " ")
-		answer := e.answer(method, path, head, string(body))
+		answer := e.answer(call.Method, call.Path, call.Head, call.Body)
 		if answer == "" {
 			return
 		}
@@ -87,11 +76,6 @@
 	}
 }
 
-func reply(status int, body string, heads ...string) string {
-	return fmt.Sprintf("HTTP/1.1 %d -\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body),
-		strings.Join(append(heads, ""), "\r\n"), body)
-}
-
 const report = "X-Report: queue:0;inflight:1;x0:0.2;x1:0.1"
 
 func (e *httpEngine) answer(method, path string, head textproto.MIMEHeader, body string) string {
@@ -119,7 +103,7 @@
 	if method == "DELETE" {
 		e.gone[id] = true
 		e.out[id] = 0
-		return reply(204, "")
+		return standin.Answer(204, "")
 	}
 	e.mu.Unlock()
 	defer e.mu.Lock()
@@ -135,25 +119,25 @@
 	}
 	switch {
 	case body == "":
-		return reply(500, "")
+		return standin.Answer(500, "")
 	case e.well:
-		return end(reply(200, "a\tb\tc\n", "Page-Count: 1", report))
+		return end(standin.Answer(200, "a\tb\tc\n", "Page-Count: 1", report))
 	case strings.Contains(body, "sleep"):
 		time.Sleep(30 * time.Millisecond) // a poll here is shorter than the platform's
-		return reply(202, "", "X-Tell: done", "Figure: 0.5")
+		return standin.Answer(202, "", "X-Tell: done", "Figure: 0.5")
 	case strings.Contains(body, "full"):
-		return end(reply(503, "", "X-No-Effect: 1", report))
+		return end(standin.Answer(503, "", "X-No-Effect: 1", report))
 	case strings.Contains(body, "fault"):
-		return end(reply(500, "", report))
+		return end(standin.Answer(500, "", report))
 	case strings.Contains(body, "garbage") && first:
 		return "HTTP/1.1 nonsense\r\n\r\n"
 	case strings.Contains(body, "break") && first:
 		end("")
 		return ""
 	case strings.Contains(body, "pages") && page != "0":
-		return reply(200, "page"+page+"\tx\ty\n", "Page-No: "+page)
+		return standin.Answer(200, "page"+page+"\tx\ty\n", "Page-No: "+page)
 	case strings.Contains(body, "pages"):
-		return end(reply(200, "page0\tx\ty\n", "Page-Count: 3", report))
+		return end(standin.Answer(200, "page0\tx\ty\n", "Page-Count: 3", report))
 	}
-	return end(reply(200, "a\tb\tc\n", "Page-Count: 1", report))
+	return end(standin.Answer(200, "a\tb\tc\n", "Page-Count: 1", report))
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -28,7 +28,6 @@
 	reports chan rollout.Report
 	found   chan checkedAt
 	asks    chan ask
-	dropped int // reports that could not be read
 	quit    chan struct{}
 }
 
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -19,7 +19,6 @@
 	ticked  time.Duration
 	judged  time.Duration
 	opinion Opinion
-	began   time.Duration // when this Machine was made
 }
 
 // seen is what is known of a gateway, and not written down.
@@ -45,7 +44,7 @@
 
 // New begins a change: all gateways are to be on the old version. ids are how the versions show in reports.
 func New(now time.Duration, p Plan, old, new ID, classes []string, gateways int) *Machine {
-	m := machine(now, p, old, new, classes, gateways)
+	m := machine(p, old, new, classes, gateways)
 	m.state = State{Phase: Changing, Since: now, Gateways: make([]GatewayState, gateways)}
 	for i := range m.state.Gateways {
 		m.state.Gateways[i] = GatewayState{Want: OldVersion, Step: Steady, Going: OldVersion}
@@ -57,7 +56,7 @@
 
 // Resume takes a change up from a state that was written down.
 func Resume(now time.Duration, p Plan, old, new ID, classes []string, s State) *Machine {
-	m := machine(now, p, old, new, classes, len(s.Gateways))
+	m := machine(p, old, new, classes, len(s.Gateways))
 	m.state = s
 	m.state.Gateways = slices.Clone(s.Gateways)
 	for i := range m.seen {
@@ -69,9 +68,9 @@
 	return m
 }
 
-func machine(now time.Duration, p Plan, old, new ID, classes []string, gateways int) *Machine {
+func machine(p Plan, old, new ID, classes []string, gateways int) *Machine {
 	m := &Machine{plan: p, ids: map[string]ID{OldVersion: old, NewVersion: new}, classes: classes, order: p.order(gateways),
-		seen: make([]seen, gateways), began: now}
+		seen: make([]seen, gateways)}
 	for i := range m.seen {
 		m.seen[i].pid = -1
 	}
@@ -165,7 +164,6 @@
 	if m.state.Phase.Over() || m.state.Phase == Returning {
 		return fmt.Errorf("it is %s", m.state.Phase)
 	}
-	m.state.Asked = true
 	m.goBack(now, "an operator took it back")
 	return nil
 }
@@ -209,7 +207,6 @@
 		for i := range m.state.Gateways {
 			m.state.Gateways[i].Since += gap
 		}
-		m.began += gap
 	}
 	m.ticked = now
 }
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -52,7 +52,6 @@
 	Stage    int            `json:"stage"`            // from 0
 	Since    time.Duration  `json:"since"`            // Unix time of the phase
 	Reason   string         `json:"reason,omitempty"` // why it holds or went back
-	Asked    bool           `json:"asked,omitempty"`  // an operator asked for the return
 	Gateways []GatewayState `json:"gateways"`
 	Crashes  [2]int         `json:"crashes"` // of old and new gateways in this stage
 }
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -24,7 +24,6 @@
 	Spoilt             // served with something that no engine made for it
 	Unanswered         // no answer half a second after the client's time
 	Unreached          // no gateway took it
-	verdicts
 )
 
 // String names a verdict.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -253,23 +253,11 @@
 	}()
 	r := textproto.NewReader(bufio.NewReaderSize(nc, 1024))
 	for {
-		line, err := r.ReadLine()
+		call, err := ReadCall(r)
 		if err != nil {
 			return
 		}
-		head, err := r.ReadMIMEHeader()
-		if err != nil {
-			return
-		}
-		n, err := strconv.Atoi(head.Get("Content-Length"))
-		if head.Get("Content-Length") != "" && (err != nil || n < 0 || n > 1<<20) {
-			return
-		}
-		body := make([]byte, n)
-		if _, err := io.ReadFull(r.R, body); err != nil {
-			return
-		}
-		answer, stays := e.answer(line, head, string(body))
+		answer, stays := e.answer(call)
 		if !stays {
 			return
 		}
@@ -279,27 +267,60 @@
 	}
 }
 
-func write(status int, body string, heads ...string) string {
+// Call is one call of a gateway to an engine.
+type Call struct {
+	Method, Path string
+	Head         textproto.MIMEHeader
+	Body         string
+}
+
+// mostBody is more than any statement of a stand-in's clients has, in bytes.
+const mostBody = 1 << 20
+
+var errCall = errors.New("a call's length makes no sense")
+
+// ReadCall reads the next call of a connection.
+func ReadCall(r *textproto.Reader) (c Call, err error) {
+	line, err := r.ReadLine()
+	if err != nil {
+		return c, err
+	}
+	method, rest, _ := strings.Cut(line, " ")
+	c.Method = method
+	c.Path, _, _ = strings.Cut(rest, " ")
+	if c.Head, err = r.ReadMIMEHeader(); err != nil {
+		return c, err
+	}
+	n, err := strconv.Atoi(c.Head.Get("Content-Length"))
+	if c.Head.Get("Content-Length") != "" && (err != nil || n < 0 || n > mostBody) {
+		return c, errCall
+	}
+	body := make([]byte, n)
+	_, err = io.ReadFull(r.R, body)
+	c.Body = string(body)
+	return c, err
+}
+
+// Answer is what an engine writes: a status, a body and further header lines.
+func Answer(status int, body string, heads ...string) string {
 	return fmt.Sprintf("HTTP/1.1 %d -\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body),
 		strings.Join(append(heads, ""), "\r\n"), body)
 }
 
 // answer works out the answer to one call, and waits for it where the protocol says so.
-func (e *Engine) answer(line string, head textproto.MIMEHeader, body string) (string, bool) {
-	method, rest, _ := strings.Cut(line, " ")
-	path, _, _ := strings.Cut(rest, " ")
-	id, page, _ := strings.Cut(strings.TrimPrefix(path, "/v2/q/"), "/")
+func (e *Engine) answer(c Call) (string, bool) {
+	id, page, _ := strings.Cut(strings.TrimPrefix(c.Path, "/v2/q/"), "/")
 	e.mu.Lock()
 	now := e.clock()
 	e.over(e.model.Advance(now))
 	var q *served
 	switch {
-	case method == "POST":
-		id = head.Get("X-Hop-Id")
-		query, ok := ParseStatement(body)
+	case c.Method == "POST":
+		id = c.Head.Get("X-Hop-Id")
+		query, ok := ParseStatement(c.Body)
 		if !ok || id == "" {
 			defer e.mu.Unlock()
-			return write(500, "", e.report()), true
+			return Answer(500, "", e.report()), true
 		}
 		if e.queries[id] != nil && !e.queries[id].over {
 			e.figures.Twice++
@@ -309,20 +330,20 @@
 		if !e.model.Start(query) {
 			e.figures.Full++
 			defer e.mu.Unlock()
-			return write(503, "", "X-No-Effect: 1", e.report()), true
+			return Answer(503, "", "X-No-Effect: 1", e.report()), true
 		}
 		e.queries[id] = &served{ended: make(chan struct{}), asked: now}
 		q = e.queries[id]
 		e.plan()
-	case method == "DELETE":
+	case c.Method == "DELETE":
 		defer e.mu.Unlock()
 		e.drop(id)
 		e.plan()
-		return write(204, "", e.report()), !e.silent
+		return Answer(204, "", e.report()), !e.silent
 	default:
 		if q = e.queries[id]; q == nil || page != "0" {
 			defer e.mu.Unlock()
-			return write(500, "", e.report()), !e.silent
+			return Answer(500, "", e.report()), !e.silent
 		}
 		q.asked = now
 	}
@@ -352,11 +373,11 @@
 	q.asked = e.clock()
 	switch {
 	case e.queries[id] != q:
-		return write(500, "", e.report()), true
+		return Answer(500, "", e.report()), true
 	case !q.over:
-		return write(202, "", e.report()), true
+		return Answer(202, "", e.report()), true
 	}
-	return write(200, Rows(id), "Page-Count: 1", e.report()), true
+	return Answer(200, Rows(id), "Page-Count: 1", e.report()), true
 }
 
 // Rows is the result of a query: so a client knows whether it got its own, whole and unchanged.
