Half-close connections, look at what has come before one is shut or used, and before a send

Stop closed the listener over connections that the machine had accepted. The end of a stop closed all. An attempt's first byte and a further attempt asked for everything but whether the client is still there: its close may wait for the loop. An idle connection to an engine was used though its end, or a second answer, was already in the socket; one just released was used at once, so that a second answer some milliseconds late was read as the next query's; one dialled to an engine that moved meanwhile became idle under the engine's name and the old address. Accepting did not wait for the loop, so that a crowd held descriptors that no share counts. A line that is too long took the open requests with it.

Change: a connection has one explicit phase (open, flushing, lingering, ended) that only the loop moves. The reader notes bytes under a lock in one step with reading them, so that the loop can look (peek, Quiet, PeerGone). retire shuts only what is quiet; a half-close, then reading to the peer's end, 2 s at most, then the close. Connections being shut count against the clients' share. A stop takes what the machine accepted, shuts connections as they rest, and ends when their peers have. Gateway asks Gone before a first byte and at an attempt's end. The program waits up to 8 s for its address.

--- a/cmd/frostpier/program_test.go
+++ b/cmd/frostpier/program_test.go
@@ -57,6 +57,8 @@
 	feed   *feed
 	file   string         // the configuration
 	conf   map[string]any // and what it holds
+
+	operator string // the operator's file, if there is one
 }
 
 // lines keeps what a process prints.
@@ -99,6 +101,12 @@
 
 // startNode starts the program with engines in the list of its start, and an operator's file unless that is empty.
 func startNode(t *testing.T, operator string, engines ...listed) *node {
+	t.Helper()
+	return startNodeWith(t, operator, func(map[string]any) {}, engines...)
+}
+
+// startNodeWith starts it with a configuration that a test has changed.
+func startNodeWith(t *testing.T, operator string, change func(conf map[string]any), engines ...listed) *node {
 	t.Helper()
 	n := &node{t: t, listen: freePort(t), log: &lines{}, feed: newFeed(t, engines...)}
 	dir := t.TempDir()
@@ -107,19 +115,24 @@
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"bulletin": n.feed.ln.Addr().String(), "settings": json.RawMessage(testSettings),
 		"known": map[string]any{"no": 1, "items": []any{n.feed.events[0]}}}
+	change(n.conf)
 	n.writeConf()
-	env := append(os.Environ(), "FROSTPIER_AS_PROGRAM=1", "GW_CONFIG="+n.file, "GW_LISTEN="+n.listen)
 	if operator != "" {
-		if err := os.WriteFile(filepath.Join(dir, "operator.toml"), []byte(operator), 0o600); err != nil {
+		n.operator = filepath.Join(dir, "operator.toml")
+		if err := os.WriteFile(n.operator, []byte(operator), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		env = append(env, "FROSTPIER_OPERATOR="+filepath.Join(dir, "operator.toml"))
-	}
-	n.cmd = exec.Command(os.Args[0])
-	n.cmd.Env, n.cmd.Stdout, n.cmd.Stderr = env, n.log, n.log
-	if err := n.cmd.Start(); err != nil {
-		t.Fatal(err)
 	}
+	n.launch()
+	n.waitLog("msg=serving")
+	return n
+}
+
+// launch starts the program, and has it ended with the test.
+func (n *node) launch() {
+	n.t.Helper()
+	n.start()
+	t := n.t
 	t.Cleanup(func() {
 		n.cmd.Process.Kill()
 		n.cmd.Wait()
@@ -130,8 +143,20 @@
 			t.Logf("the end of the program's log:\n%s", log[max(0, len(log)-4000):])
 		}
 	})
-	n.waitLog("msg=serving")
-	return n
+}
+
+// start starts the program; again, if it has ended.
+func (n *node) start() {
+	n.t.Helper()
+	n.cmd = exec.Command(os.Args[0])
+	n.cmd.Env = append(os.Environ(), "FROSTPIER_AS_PROGRAM=1", "GW_CONFIG="+n.file, "GW_LISTEN="+n.listen)
+	if n.operator != "" {
+		n.cmd.Env = append(n.cmd.Env, "FROSTPIER_OPERATOR="+n.operator)
+	}
+	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
+	if err := n.cmd.Start(); err != nil {
+		n.t.Fatal(err)
+	}
 }
 
 func (n *node) writeConf() {
--- a/internal/jsonrpc/jsonrpc.go
+++ b/internal/jsonrpc/jsonrpc.go
@@ -78,6 +78,9 @@
 // Unread is how many bytes of a line that is not whole have come.
 func (s *Session) Unread() int { return len(s.buf) }
 
+// Abandon drops what has come of a line: nothing more is read, but what is open is still to be answered.
+func (s *Session) Abandon() { s.buf, s.seen = nil, 0 }
+
 // Done says that a call got its answer or needs none.
 func (s *Session) Done(id string) { delete(s.open, id) }
 
--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
+	"slices"
 	"time"
 
 	"frostpier/internal/core"
@@ -25,13 +27,17 @@
 type Clients struct {
 	gateway *Gateway
 	log     *slog.Logger
-	most    int // connections
-	lines   int // bytes of lines that are not whole, over all connections
-	unread  int // and how many there are
+	most    int     // connections, those that are being shut included
+	leaving []*Conn // those, in the order in which that began
+	lines   int     // bytes of lines that are not whole, over all connections
+	unread  int     // and how many there are
 	open    map[*client]bool
 	serving bool
 	ln      net.Listener
 	patient time.Duration // how long a client may take to ask for something, or to end a line
+	idleFor time.Duration // and how long it may rest
+	stopped func()        // runs once no more connections are taken
+	emptied func()        // runs once no connection is open or being shut
 }
 
 // client is one connection.
@@ -42,6 +48,7 @@
 	calls   map[string]core.ID
 	asked   bool // it has said something that got an answer, or will
 	called  bool // a call of it was taken
+	deaf    bool // its framing is lost: what is open is answered, and nothing more is read
 	unread  int  // bytes of a line that is not whole
 	since   time.Duration
 	idle    *Timer
@@ -51,7 +58,7 @@
 // NewClients makes the front for at most so many connections, whose unfinished lines may hold so many bytes.
 func NewClients(g *Gateway, log *slog.Logger, most, lines int) *Clients {
 	return &Clients{gateway: g, log: log, most: most, lines: lines, open: map[*client]bool{}, serving: true,
-		patient: askWait}
+		patient: askWait, idleFor: clientIdle}
 }
 
 // Serve listens and accepts until Stop.
@@ -61,72 +68,127 @@
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	f.ln = ln
-	go accept(f.gateway.Loop, f.log, ln, f.take)
+	go accept(f.gateway.Loop, f.log, ln, f.take, func() {
+		if f.stopped != nil {
+			f.stopped()
+		}
+	})
 	return nil
 }
 
-// accept hands every connection to the loop; want of descriptors is waited out.
-func accept(loop *Loop, log *slog.Logger, ln net.Listener, take func(net.Conn)) {
+// accept hands every connection to the loop, one at a time: what is accepted and not yet taken holds a descriptor that
+// no share counts. Want of descriptors is waited out. Where the listener has been given an end, it takes what came until
+// then and tells done.
+func accept(loop *Loop, log *slog.Logger, ln net.Listener, take func(net.Conn), done func()) {
 	for {
 		nc, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			loop.Do(func() { take(nc) })
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+			ln.Close()
+			loop.Post(done)
 			return
-		}
-		if err != nil {
+		default:
 			log.Warn("accept failed", "error", err)
 			time.Sleep(acceptPause)
-			continue
 		}
-		loop.Post(func() { take(nc) })
 	}
 }
 
 // Drain makes ping say that this gateway stops serving; all else goes on.
 func (f *Clients) Drain() { f.serving = false }
 
-// Stop takes no more connections.
-func (f *Clients) Stop() {
-	if f.ln != nil {
-		f.ln.Close()
+// Stop takes no more connections. Those that the machine has accepted are still taken, since their clients may have
+// asked already; then done runs. Both on the loop.
+func (f *Clients) Stop(done func()) {
+	f.stopped = done
+	if tcp, ok := f.ln.(*net.TCPListener); ok && tcp.SetDeadline(time.Now().Add(acceptPause)) == nil {
+		return
+	}
+	f.ln.Close()
+}
+
+// Retire shuts the connections on which nothing is open and nothing has come, and tells whether that were all of them.
+func (f *Clients) Retire() bool {
+	for c := range f.open {
+		if c.unread == 0 { // else its line may still end
+			c.retire("stopped")
+		}
+	}
+	return len(f.open) == 0
+}
+
+// WhenEmpty sets what runs once no connection is open or being shut.
+func (f *Clients) WhenEmpty(run func()) {
+	f.emptied = run
+	f.checkEmpty()
+}
+
+func (f *Clients) checkEmpty() {
+	if f.emptied != nil && len(f.open) == 0 && len(f.leaving) == 0 {
+		run := f.emptied
+		f.emptied = nil
+		run()
 	}
 }
 
-// Finish closes the connections once what they were to get is written.
+// Finish shuts the connections once what they were to get is written.
 func (f *Clients) Finish() {
 	for c := range f.open {
-		c.conn.Finish()
+		c.end("stopped")
 	}
 }
 
+// lingerShare is the part of the connections that may be in the course of being shut: each holds its descriptor until
+// its peer has ended it too, and peers that do not must not keep others out.
+const lingerShare = 8
+
 func (f *Clients) take(nc net.Conn) {
-	if len(f.open) >= f.most && !f.closeOneIdle() {
+	leave := max(1, f.most/lingerShare)
+	if len(f.open) >= max(1, f.most-leave) && !f.closeOneIdle() {
 		f.log.Warn("too many client connections", "open", len(f.open))
 		nc.Close()
 		return
 	}
+	if len(f.leaving) > leave { // one that was told all goes before one that was not
+		i := max(0, slices.IndexFunc(f.leaving, func(c *Conn) bool { return c.phase == connLingering }))
+		f.leaving[i].Close()
+	}
 	c := &client{front: f, session: jsonrpc.NewSession(f.gateway.Core), calls: map[string]core.ID{}}
 	f.open[c] = true
 	c.conn = NewConn(f.gateway.Loop, nc, c, clientQueue)
+	c.conn.gone = func() { f.left(c.conn) }
 	c.since = f.gateway.Loop.Now()
-	c.idle = f.gateway.Loop.After(f.patient, func() { c.end("it asked for nothing") })
+	c.idle = f.gateway.Loop.After(f.patient, c.askedNothing)
 }
 
 // closeOneIdle makes room for a new connection: of those with nothing open the one goes that is missed least, and
 // among equals the one that was quiet for longest.
 func (f *Clients) closeOneIdle() bool {
 	now := f.gateway.Loop.Now()
-	var next *client
-	for c := range f.open {
-		if len(c.calls) == 0 && (next == nil || c.missed(now) < next.missed(now) ||
-			c.missed(now) == next.missed(now) && c.since < next.since) {
-			next = c
+	for range f.most { // one that has just asked for something after all stays, and another goes
+		var next *client
+		for c := range f.open {
+			if len(c.calls) == 0 && (next == nil || c.missed(now) < next.missed(now) ||
+				c.missed(now) == next.missed(now) && c.since < next.since) {
+				next = c
+			}
+		}
+		if next == nil {
+			return false
+		}
+		if next.retire("others came") {
+			return true
 		}
 	}
-	if next == nil {
-		return false
-	}
-	next.end("others came")
-	return true
+	return false
+}
+
+// left forgets a connection whose descriptor is given back.
+func (f *Clients) left(conn *Conn) {
+	f.leaving = slices.DeleteFunc(f.leaving, func(o *Conn) bool { return o == conn })
+	f.checkEmpty()
 }
 
 // missed ranks a connection with nothing open, from those that come by the hundreds and make no call to the one whose
@@ -154,7 +216,11 @@
 	c.idle.Stop()
 	c.since = c.front.gateway.Loop.Now()
 	if len(c.calls) == 0 {
-		c.idle = c.front.gateway.Loop.After(clientIdle, func() { c.end("idle") })
+		if c.deaf {
+			c.end("no more lines can be read")
+			return
+		}
+		c.idle = c.front.gateway.Loop.After(c.front.idleFor, func() { c.retire("idle") })
 	}
 }
 
@@ -173,11 +239,32 @@
 
 // lineLate ends a connection whose line does not, once its calls are answered.
 func (c *client) lineLate() {
-	if len(c.calls) == 0 {
+	c.half = nil
+	c.conn.Quiet() // its end may have come
+	switch {
+	case !c.conn.isOpen() || c.unread == 0:
+	case len(c.calls) == 0:
 		c.end("half a line")
-		return
+	case c.half == nil:
+		c.half = c.front.gateway.Loop.After(c.front.patient, c.lineLate)
+	}
+}
+
+// askedNothing ends a connection that has not asked for anything in its time.
+func (c *client) askedNothing() {
+	if c.conn.Quiet(); c.conn.isOpen() && !c.asked {
+		c.end("it asked for nothing")
+	}
+}
+
+// retire shuts a connection that rests, unless something has come on it that is not read yet: a request that was there
+// before the shutdown is owed an answer. It tells whether it did.
+func (c *client) retire(why string) bool {
+	if !c.conn.Quiet() || len(c.calls) > 0 {
+		return false
 	}
-	c.half = c.front.gateway.Loop.After(c.front.patient, c.lineLate)
+	c.end(why)
+	return true
 }
 
 // forget stops the waits; nothing is heard of the connection any more.
@@ -187,17 +274,22 @@
 	c.front.unread -= c.unread
 	c.unread = 0
 	delete(c.front.open, c)
+	c.front.checkEmpty()
 }
 
-// end closes a connection once what has been answered is written: the last answer may still be on its way.
+// end shuts a connection once what has been answered is written: the last answer may still be on its way.
 func (c *client) end(why string) {
 	c.front.log.Debug("client connection ended", "why", why)
+	c.front.leaving = append(c.front.leaving, c.conn)
 	c.conn.Finish()
 	c.forget()
 }
 
 // Data feeds the session and does what its lines ask for.
 func (c *client) Data(b []byte) {
+	if c.deaf {
+		return
+	}
 	events, err := c.session.Feed(b)
 	for _, e := range events {
 		c.asked = c.asked || e.Call != nil || e.Ping != "" || e.Reply != nil
@@ -216,11 +308,12 @@
 	if c.await(); err == nil && c.front.unread > c.front.lines && c.unread > fairLine {
 		err = errFull
 	}
-	if err != nil {
+	if err != nil { // what was asked before is no worse for it
 		c.front.log.Warn("client connection closed", "error", err)
-		c.end("no more lines can be read")
-		c.leaveAll()
-		return
+		c.deaf, c.asked = true, true
+		c.session.Abandon()
+		c.await()
+		c.conn.Pause()
 	}
 	c.rest()
 }
@@ -269,6 +362,9 @@
 	return fly(g, g.Pool, a, a.Engine.Addr, machine, steps, func([]byte) {})
 }
 
+// Gone tells whether the client has closed its connection, also if that is not read yet.
+func (r *request) Gone() bool { return r.client.conn.PeerGone() }
+
 // Answer writes the one answer of the call.
 func (r *request) Answer(reply core.Reply, result any) {
 	c := r.client
--- a/internal/netio/clients_test.go
+++ b/internal/netio/clients_test.go
@@ -35,7 +35,7 @@
 	if err := f.Serve("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(f.Stop)
+	t.Cleanup(func() { loop.Do(func() { f.Stop(func() {}) }) })
 	return f
 }
 
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -2,42 +2,57 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // Handler is what a connection tells, on the loop.
 type Handler interface {
 	Data(b []byte)    // valid until it returns
-	Closed(err error) // once, and not after Close
+	Closed(err error) // once, and not after Close or Finish
 }
 
-var (
-	errClosed = errors.New("closed here")
-	errSlow   = errors.New("peer reads too slowly")
-)
+var errSlow = errors.New("peer reads too slowly")
 
 const (
 	readSize    = 8 << 10
+	peekMost    = 64 << 10         // bytes read ahead of the owner in search of the connection's end
 	fairWaiting = 64 << 10         // bytes that may wait on one connection when all together hold too many
 	writeWait   = 10 * time.Second // a peer that takes nothing for so long is gone
+	lingerFor   = 2 * time.Second  // after a half-close: a peer that is there ends its side within a round trip
+)
+
+// phase is where a connection is in its life. It only goes forward, and only the loop moves it.
+type phase uint8
+
+const (
+	connOpen      phase = iota // bytes go both ways
+	connFlushing               // what waits is written; what comes is read and dropped
+	connLingering              // half-closed: what comes is read and dropped until the peer ends it too
+	connEnded
 )
 
 // Conn is a connection with a reader and a writer of its own.
 type Conn struct {
 	nc     net.Conn
+	raw    syscall.RawConn // nil where the connection is no socket
 	loop   *Loop
 	owner  Handler
-	limit  int // bytes that may wait to be written
-	closed bool
+	limit  int    // bytes that may wait to be written
+	gone   func() // runs on the loop once the descriptor is given back; may be nil
+	wait   *Timer // for the peer's end while lingering
+	linger time.Duration
 
 	mu      sync.Mutex
+	phase   phase  // read by the loop, or under mu
+	arrived []byte // read, and not yet handed to the owner
+	eof     bool   // the peer sends nothing more
 	pending [][]byte
 	waiting int
-	ending  bool // close when all is written
 	wake    chan struct{}
-	cut     bool // closed with bytes unwritten
 	paused  bool
 	resume  chan struct{}
 	drained func() // runs on the loop when all has been written
@@ -45,34 +60,41 @@
 
 // NewConn starts reading and writing. It is called on the loop.
 func NewConn(loop *Loop, nc net.Conn, owner Handler, limit int) *Conn {
-	c := &Conn{nc: nc, loop: loop, owner: owner, limit: limit, wake: make(chan struct{}, 1), resume: make(chan struct{}, 1)}
+	c := &Conn{nc: nc, loop: loop, owner: owner, limit: limit, linger: lingerFor, wake: make(chan struct{}, 1),
+		resume: make(chan struct{}, 1)}
+	if s, ok := nc.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
 	go c.read()
 	go c.write()
 	return c
 }
 
+// isOpen tells whether the owner may still use it. It is called on the loop.
+func (c *Conn) isOpen() bool { return c.phase == connOpen }
+
+// moveTo is the only place that changes the phase.
+func (c *Conn) moveTo(p phase) {
+	c.mu.Lock()
+	c.phase = max(c.phase, p)
+	c.mu.Unlock()
+}
+
 func (c *Conn) read() {
 	buf := make([]byte, readSize)
-	n, stop, done := 0, false, make(chan struct{}, 1)
-	take := func() {
-		if !c.closed {
-			c.owner.Data(buf[:n])
-		}
-		stop = c.closed
-		done <- struct{}{}
-	}
+	done := make(chan struct{}, 1)
+	take := func() { c.deliver(); done <- struct{}{} }
 	for {
-		var err error
-		if n, err = c.nc.Read(buf); n > 0 && !c.loop.wait(take, done) {
+		wanted, err := c.receive(buf)
+		if wanted && !c.loop.wait(take, done) {
 			return
 		}
 		if err != nil {
 			c.loop.Post(func() { c.lost(err) })
 			return
 		}
-		if stop {
-			return
-		}
 		c.mu.Lock()
 		wait := c.paused
 		c.mu.Unlock()
@@ -85,19 +107,134 @@
 	}
 }
 
-// lost tells the owner that the connection ended, unless it closed it.
+// receive waits for bytes and notes them as arrived in one step with reading them: whoever looks under the lock either
+// finds them there or still in the socket, never in between. It tells whether the owner wants them.
+func (c *Conn) receive(buf []byte) (wanted bool, err error) {
+	if c.raw == nil {
+		n, err := c.nc.Read(buf)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.note(buf[:n]), err
+	}
+	rawErr := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		var n int
+		if n, err = readNow(fd, buf); errors.Is(err, syscall.EAGAIN) {
+			return false
+		}
+		wanted = c.note(buf[:n])
+		c.eof = c.eof || err != nil
+		return true
+	})
+	if err == nil {
+		err = rawErr
+	}
+	return wanted, err
+}
+
+// note keeps bytes for the owner, under the lock. Once the connection is being shut nobody wants them.
+func (c *Conn) note(b []byte) bool {
+	if c.phase != connOpen || len(b) == 0 {
+		return false
+	}
+	if c.arrived == nil {
+		c.arrived = b[:len(b):len(b)] // the reader leaves them alone until they are handed over
+	} else {
+		c.arrived = append(c.arrived, b...)
+	}
+	return true
+}
+
+// readNow reads what is there: EAGAIN if nothing is, io.EOF at the end.
+func readNow(fd uintptr, buf []byte) (int, error) {
+	for {
+		n, err := syscall.Read(int(fd), buf)
+		switch {
+		case err == syscall.EINTR:
+		case err != nil:
+			return 0, err
+		case n == 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
+	}
+}
+
+// peek reads what is in the socket by now, without handing it over: the owner may be in the middle of something. It
+// tells whether anything waits for the owner, and whether the peer has ended its side. It is called on the loop.
+func (c *Conn) peek() (some, eof bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != connOpen || c.raw == nil {
+		return len(c.arrived) > 0, c.eof
+	}
+	read := false
+	for !c.eof && len(c.arrived) < peekMost {
+		var n int
+		var err error
+		buf := make([]byte, 512)
+		if c.raw.Control(func(fd uintptr) { n, err = readNow(fd, buf) }) != nil || errors.Is(err, syscall.EAGAIN) {
+			break
+		}
+		read = c.note(buf[:n]) || read
+		c.eof = err != nil
+	}
+	if read {
+		c.loop.After(0, c.deliver)
+	}
+	return len(c.arrived) > 0, c.eof
+}
+
+// PeerGone tells whether the peer has ended its side, also if its end is not read yet and stands behind other bytes.
+func (c *Conn) PeerGone() bool {
+	_, eof := c.peek()
+	return eof
+}
+
+// Quiet hands the owner what has come by now, and tells whether nothing had. A connection that is quiet may be
+// half-closed at once: what comes after that crossed it on the way.
+func (c *Conn) Quiet() bool {
+	some, eof := c.peek()
+	c.deliver()
+	return !some && !eof && c.isOpen()
+}
+
+// deliver hands over what has arrived; on the loop.
+func (c *Conn) deliver() {
+	for c.isOpen() {
+		c.mu.Lock()
+		b := c.arrived
+		c.arrived = nil
+		c.mu.Unlock()
+		if len(b) == 0 {
+			return
+		}
+		c.owner.Data(b)
+	}
+}
+
+// lost tells the owner that the connection ended, unless the owner ended it.
 func (c *Conn) lost(err error) {
-	if c.closed {
-		return
+	c.deliver() // what came before the end
+	switch c.phase {
+	case connOpen:
+		c.close()
+		c.owner.Closed(err)
+	case connFlushing: // the peer sends nothing more, but may still read
+		c.mu.Lock()
+		c.eof = true
+		c.mu.Unlock()
+	case connLingering:
+		c.close()
 	}
-	c.close()
-	c.owner.Closed(err)
 }
 
 func (c *Conn) write() {
 	for range c.wake {
 		c.mu.Lock()
-		bufs, ending := net.Buffers(c.pending), c.ending
+		bufs, now := net.Buffers(c.pending), c.phase
 		c.pending = nil
 		c.mu.Unlock()
 		size := 0
@@ -109,31 +246,53 @@
 			if _, err := bufs.WriteTo(c.nc); err != nil {
 				c.loop.Post(func() {
 					c.lost(err)
-					c.close() // one that was to end when all is written is not told, but its bytes count no more
+					c.Close() // one that was to end when all is written is not told, but its bytes count no more
 				})
 				return
 			}
 		}
 		c.mu.Lock()
-		if !c.cut {
+		if c.phase != connEnded {
 			c.waiting -= size
 			c.loop.waiting.Add(-int64(size))
 		}
 		empty, tell := c.waiting == 0, c.drained
 		c.mu.Unlock()
-		if empty && ending {
-			c.nc.Close()
+		switch {
+		case now == connEnded:
 			return
-		}
-		if empty && tell != nil {
+		case empty && now == connFlushing:
+			c.halfClose()
+			return
+		case empty && tell != nil:
 			c.loop.Post(tell)
 		}
 	}
 }
 
+// halfClose tells the peer that nothing more comes. The connection is closed when the peer has ended its side too: a
+// close over unread bytes resets it, and the peer may lose what it was sent before.
+func (c *Conn) halfClose() {
+	if half, ok := c.nc.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		c.loop.Post(c.Close)
+		return
+	}
+	c.loop.Post(func() {
+		switch _, eof := c.peek(); {
+		case c.phase != connFlushing:
+			return
+		case eof:
+			c.Close()
+			return
+		}
+		c.moveTo(connLingering)
+		c.wait = c.loop.After(c.linger, c.Close)
+	})
+}
+
 // Write queues bytes, which must not be changed afterwards. A peer that lets too many wait is cut off.
 func (c *Conn) Write(b []byte) {
-	if c.closed {
+	if !c.isOpen() {
 		return
 	}
 	c.mu.Lock()
@@ -143,7 +302,11 @@
 	over := c.waiting > c.limit || all > c.loop.room && c.waiting > fairWaiting
 	c.mu.Unlock()
 	if over {
-		c.loop.After(0, func() { c.lost(errSlow) })
+		c.loop.After(0, func() {
+			if c.isOpen() {
+				c.lost(errSlow)
+			}
+		})
 		return
 	}
 	c.signal()
@@ -188,33 +351,35 @@
 	}
 }
 
-// Finish closes the connection when all is written; the owner hears no more of it.
+// Finish half-closes the connection when all is written, and closes it when the peer has ended its side too; the owner
+// hears no more of it.
 func (c *Conn) Finish() {
-	if c.closed {
+	if !c.isOpen() {
 		return
 	}
-	c.closed = true
-	c.mu.Lock()
-	c.ending = true
-	c.mu.Unlock()
+	c.moveTo(connFlushing)
 	c.Resume()
 	c.signal()
 }
 
 // Close closes the connection now; the owner hears no more of it.
 func (c *Conn) Close() {
-	if !c.closed {
+	if c.phase != connEnded {
 		c.close()
 	}
 }
 
 func (c *Conn) close() {
-	c.closed = true
+	c.wait.Stop()
+	c.moveTo(connEnded)
 	c.nc.Close()
 	c.Resume()
 	c.mu.Lock()
 	c.loop.waiting.Add(-int64(c.waiting))
-	c.ending, c.pending, c.waiting, c.cut = true, nil, 0, true
+	c.pending, c.arrived, c.waiting = nil, nil, 0
 	c.mu.Unlock()
 	c.signal()
+	if c.gone != nil {
+		c.loop.After(0, c.gone)
+	}
 }
--- a/internal/netio/gateway.go
+++ b/internal/netio/gateway.go
@@ -14,6 +14,8 @@
 	Attempt(a core.Start) Attempt
 	// Answer gives the final answer; result is what the attempt that served it brought.
 	Answer(r core.Reply, result any)
+	// Gone tells whether the client has ended its connection by now, also if nobody has read that yet.
+	Gone() bool
 }
 
 // Attempt is one that is out.
@@ -88,8 +90,12 @@
 	g.carryOut(actions, nil)
 }
 
-// MaySend asks leave for an attempt's first byte, or for its first byte again.
+// MaySend asks leave for an attempt's first byte, or for its first byte again. For a client that has gone meanwhile
+// nothing is sent: its close may stand unread behind other bytes, or wait for this loop.
 func (g *Gateway) MaySend(id core.ID, n int, again bool) (time.Duration, bool) {
+	if c := g.calls[id]; c == nil || c.caller.Gone() {
+		return 0, false
+	}
 	return g.Core.MaySend(g.Loop.Now(), id, n, again)
 }
 
@@ -120,6 +126,9 @@
 		c.timer.Stop()
 		c.attempt = nil
 	}
+	if outcome != policy.OK && c != nil && !c.replied && c.caller.Gone() {
+		g.Leave(id) // else the module would try again for nobody
+	}
 	g.carryOut(g.Core.Ended(g.Loop.Now(), id, n, outcome, report), result)
 	if c != nil {
 		g.forget(id, c)
--- a/internal/netio/mysqlfront.go
+++ b/internal/netio/mysqlfront.go
@@ -58,7 +58,7 @@
 	}
 	f.ln = ln
 	f.log.Info("mysql front listens", "listen", ln.Addr().String())
-	go accept(f.gateway.Loop, f.log, ln, f.take)
+	go accept(f.gateway.Loop, f.log, ln, f.take, func() {})
 	return nil
 }
 
@@ -85,10 +85,20 @@
 	f.again = f.gateway.Loop.After(after, try)
 }
 
-// Finish closes the connections once what they were to get is written.
+// Retire shuts the connections on which no query runs and nothing has come, and tells whether that were all of them.
+func (f *MySQLFront) Retire() bool {
+	for c := range f.open {
+		if c.conn.Quiet() && c.call == nil {
+			c.end()
+		}
+	}
+	return len(f.open) == 0
+}
+
+// Finish shuts the connections once what they were to get is written.
 func (f *MySQLFront) Finish() {
 	for c := range f.open {
-		c.conn.Finish()
+		c.end()
 	}
 }
 
@@ -221,6 +231,9 @@
 	}
 }
 
+// Gone tells whether the client has closed its connection, also if that is not read yet.
+func (c *mysqlClient) Gone() bool { return c.conn.PeerGone() }
+
 // Answer ends the query. An answer that broke off in the middle of a row can only be told by the connection's end.
 func (c *mysqlClient) Answer(r core.Reply, result any) {
 	last, _ := result.([]byte)
@@ -239,7 +252,7 @@
 		c.conn.Write(mysql.Failure())
 	}
 	c.front.gateway.Loop.After(0, func() {
-		if !c.conn.closed {
+		if c.conn.isOpen() {
 			c.carryOut(c.machine.Done())
 		}
 	})
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -11,20 +11,29 @@
 )
 
 const (
-	engineQueue = 4 << 20 // a statement and a call: no more waits at an engine
-	idleShare   = 3       // idle connections are closed after a third of the time that engines leave them
+	engineQueue = 4 << 20               // a statement and a call: no more waits at an engine
+	idleShare   = 3                     // idle connections are closed after a third of the time that engines leave them
+	settleFor   = 50 * time.Millisecond // in which a second answer shows: some engines send one milliseconds late
 )
 
 // Share is a number of descriptors: so many at most, and beyond that a few for what cannot wait.
 type Share struct{ Most, Urgent int }
 
-// Pool keeps connections to engines, by the engine's name in the list: an address may change hands.
+// place is where a connection leads: an address may change hands between engines, and an engine its address.
+type place struct {
+	engine policy.EngineID
+	addr   string
+}
+
+// Pool keeps connections to engines.
 type Pool struct {
 	loop    *Loop
 	log     *slog.Logger
 	dialer  net.Dialer
-	idle    map[policy.EngineID][]*Link
+	idle    map[place][]*Link
+	links   map[*Link]bool // all that there are, those that are being made included
 	idleFor time.Duration
+	settle  time.Duration
 	budget  Share // of connections, dials included
 	held    int
 	waited  int // how often a descriptor had to be waited for
@@ -33,7 +42,7 @@
 
 // waiter waits for a descriptor.
 type waiter struct {
-	engine  policy.EngineID
+	to      place
 	fresh   bool
 	stopped *bool
 	user    Handler
@@ -45,19 +54,22 @@
 type Link struct {
 	*Conn
 	pool   *Pool
-	engine policy.EngineID
-	user   Handler // nil while idle
-	Memory any     // what a state machine keeps with the connection
+	to     place
+	stale  bool          // its engine has gone or is elsewhere
+	user   Handler       // nil while idle
+	free   time.Duration // when it was last released
+	Memory any           // what a state machine keeps with the connection
 	timer  *Timer
 }
 
 // NewPool makes a Pool of at most budget connections; the urgent ones give attempts up.
 func NewPool(loop *Loop, log *slog.Logger, connect, idle time.Duration, budget Share) *Pool {
 	return &Pool{loop: loop, log: log, dialer: net.Dialer{Timeout: connect, KeepAlive: -1},
-		idle: map[policy.EngineID][]*Link{}, idleFor: idle / idleShare, budget: budget}
+		idle: map[place][]*Link{}, links: map[*Link]bool{}, idleFor: idle / idleShare, settle: settleFor,
+		budget: budget}
 }
 
-// Data passes on what the connection brings; an idle one that speaks is of no use.
+// Data passes on what the connection brings; an idle one that speaks is of no use, also if it is about to be used.
 func (l *Link) Data(b []byte) {
 	if l.user != nil {
 		l.user.Data(b)
@@ -69,12 +81,14 @@
 
 // Closed passes on that the connection ended.
 func (l *Link) Closed(err error) {
-	l.pool.unhold()
+	if l.user == nil {
+		l.pool.unlist(l)
+	}
+	l.pool.forgetLink(l)
+	l.pool.admit()
 	if l.user != nil {
 		l.user.Closed(err)
-		return
 	}
-	l.pool.unlist(l)
 }
 
 // Drop closes the connection.
@@ -85,44 +99,58 @@
 
 func (l *Link) drop() {
 	l.timer.Stop()
-	if !l.closed {
-		l.pool.held--
+	if l.isOpen() {
+		l.pool.forgetLink(l)
 		l.Close()
 	}
 }
 
-// Release makes it idle.
+// Release makes it idle, unless its engine has gone meanwhile or is elsewhere.
 func (l *Link) Release() {
-	if l.closed {
+	if !l.isOpen() {
+		return
+	}
+	if l.stale {
+		l.Drop()
 		return
 	}
 	l.Resume()
+	l.user, l.free = nil, l.pool.loop.Now()
 	if l.pool.handOver(l) {
 		return
 	}
-	l.user = nil
 	l.timer = l.pool.loop.After(l.pool.idleFor, func() { l.pool.unlist(l); l.Drop() })
-	l.pool.idle[l.engine] = append(l.pool.idle[l.engine], l)
+	l.pool.idle[l.to] = append(l.pool.idle[l.to], l)
 	l.pool.admit()
 }
 
-// handOver gives a connection that has become free to the first that waits for one to the same engine. Without it
-// every one was closed to make room for a dial: seen on an overloaded day, with three connections made for one needed.
+// clean tells whether an idle connection may be used: nothing has come on it since, not even its end.
+func (l *Link) clean() bool {
+	some, eof := l.peek()
+	return !some && !eof && l.isOpen()
+}
+
+// handOver gives a connection that has become free to the first that waits for one to the same engine, once no second
+// answer has shown. Without it every one was closed to make room for a dial: seen on an overloaded day, with three
+// connections made for one needed.
 func (p *Pool) handOver(l *Link) bool {
 	for i, w := range p.queue {
-		if w.engine != l.engine || w.fresh || *w.stopped {
+		if w.to != l.to || w.fresh || *w.stopped {
 			continue
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
-		l.user = w.user
-		p.loop.After(0, func() {
-			switch {
-			case *w.stopped:
+		p.loop.After(p.settle, func() {
+			switch usable := l.clean(); {
+			case *w.stopped && usable:
 				l.Release()
-			case l.closed:
-				w.dial() // the engine closed it meanwhile
-			default:
+			case *w.stopped:
+				l.Drop()
+			case usable:
+				l.user = w.user
 				w.done(l, nil)
+			default: // the engine closed it meanwhile, or sent what nobody asked for
+				l.drop()
+				w.dial()
 			}
 		})
 		return true
@@ -132,23 +160,45 @@
 
 func (p *Pool) unlist(l *Link) {
 	l.timer.Stop()
-	list := p.idle[l.engine]
+	list := p.idle[l.to]
 	for i, o := range list {
 		if o == l {
-			p.idle[l.engine] = append(list[:i:i], list[i+1:]...)
+			p.idle[l.to] = append(list[:i:i], list[i+1:]...)
 		}
 	}
-	if len(p.idle[l.engine]) == 0 {
-		delete(p.idle, l.engine)
+	if len(p.idle[l.to]) == 0 {
+		delete(p.idle, l.to)
 	}
 }
 
-// Forget closes the idle connections to an engine that has gone.
+// Forget ends the use of what leads to an engine that has gone or is elsewhere: idle connections now, those in use
+// when they are released, and those that are still being made.
 func (p *Pool) Forget(engine policy.EngineID) {
-	for _, l := range p.idle[engine] {
-		l.Drop()
+	for l := range p.links {
+		l.stale = l.stale || l.to.engine == engine
+	}
+	for to, list := range p.idle {
+		if to.engine != engine {
+			continue
+		}
+		for _, l := range list {
+			l.drop()
+		}
+		delete(p.idle, to)
+	}
+	p.admit()
+}
+
+// take finds an idle connection that has settled. Whether it is clean is looked at when it is used.
+func (p *Pool) take(to place) *Link {
+	list, now := p.idle[to], p.loop.Now()
+	for i := len(list) - 1; i >= 0; i-- { // the last used is the least likely to be stale
+		if l := list[i]; now-l.free >= p.settle {
+			p.unlist(l)
+			return l
+		}
 	}
-	delete(p.idle, engine)
+	return nil
 }
 
 // Get brings a connection for user: an idle one at once, unless fresh, or a new one. The returned function ends
@@ -156,30 +206,38 @@
 func (p *Pool) Get(engine policy.EngineID, addr string, fresh, urgent bool, user Handler, done func(*Link, error)) func() {
 	stopped := false
 	end := func() { stopped = true } // what ends the wait changes as it goes on
-	if list := p.idle[engine]; len(list) > 0 && !fresh {
-		l := list[len(list)-1] // the last used is the least likely to be stale
-		p.unlist(l)
-		l.user = user
+	to := place{engine, addr}
+	var l *Link
+	if !fresh {
+		l = p.take(to)
+	}
+	if l != nil {
 		p.loop.After(0, func() {
-			switch {
-			case stopped && !l.closed:
+			switch usable := l.clean(); {
+			case stopped && usable:
 				l.Release()
-			case !stopped && l.closed: // the engine closed it meanwhile, which says nothing against the engine
-				end = p.Get(engine, addr, true, urgent, user, done)
-			case !stopped:
+			case stopped:
+				l.Drop()
+			case usable:
+				l.user = user
 				done(l, nil)
+			default: // the engine closed it meanwhile, which says nothing against the engine
+				l.Drop()
+				end = p.Get(engine, addr, false, urgent, user, done)
 			}
 		})
 		return func() { end() }
 	}
 	dial := func() {
+		l := &Link{pool: p, to: to, user: user}
+		p.links[l] = true
 		p.held++
 		ctx, cancel := context.WithCancel(context.Background())
 		end = func() { stopped = true; cancel() }
 		go func() {
 			nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 			cancel()
-			p.loop.Post(func() { p.dialed(engine, nc, err, user, &stopped, done) })
+			p.loop.Post(func() { p.dialed(l, nc, err, &stopped, done) })
 		}()
 	}
 	if p.room(urgent) {
@@ -188,7 +246,7 @@
 		if len(p.queue) == 0 {
 			p.log.Warn("attempts wait for a descriptor", "held", p.held)
 		}
-		p.queue = append(p.queue, &waiter{engine, fresh, &stopped, user, dial, done})
+		p.queue = append(p.queue, &waiter{to, fresh, &stopped, user, dial, done})
 	}
 	return func() { end() }
 }
@@ -202,10 +260,10 @@
 	return p.held < most || p.dropOneIdle()
 }
 
-// unhold gives a descriptor back, for the next that waits for one.
-func (p *Pool) unhold() {
+// forgetLink gives a connection's descriptor back.
+func (p *Pool) forgetLink(l *Link) {
 	p.held--
-	p.admit()
+	delete(p.links, l)
 }
 
 // admit lets those that wait have what room there is.
@@ -222,17 +280,17 @@
 	}
 }
 
-func (p *Pool) dialed(engine policy.EngineID, nc net.Conn, err error, user Handler, stopped *bool, done func(*Link, error)) {
+func (p *Pool) dialed(l *Link, nc net.Conn, err error, stopped *bool, done func(*Link, error)) {
 	if err != nil {
-		p.unhold()
+		p.forgetLink(l)
+		p.admit()
 		if !*stopped {
 			done(nil, err)
 		}
 		return
 	}
-	l := &Link{pool: p, engine: engine, user: user}
 	l.Conn = NewConn(p.loop, nc, l, engineQueue)
-	if *stopped {
+	if *stopped { // it came up late: its attempt is over
 		l.Release()
 		return
 	}
--- a/internal/netio/pool_test.go
+++ b/internal/netio/pool_test.go
@@ -44,7 +44,9 @@
 	t.Cleanup(cancel)
 	loop := NewLoop(time.Now(), testRoom)
 	go loop.Run(ctx)
-	return loop, NewPool(loop, slog.New(slog.NewTextHandler(io.Discard, nil)), time.Second, time.Minute, Share{budget, 1})
+	p := NewPool(loop, slog.New(slog.NewTextHandler(io.Discard, nil)), time.Second, time.Minute, Share{budget, 1})
+	p.settle = 0 // tests of what comes late on a connection that rests set it themselves
+	return loop, p
 }
 
 // Guards against taking want of descriptors for an engine that is down: seen on an overloaded day, where 512
@@ -69,11 +71,11 @@
 		p.Get(1, addr, false, true, user{}, take)
 	})
 	urgent := <-got
-	if urgent.engine != 1 {
+	if urgent.to.engine != 1 {
 		t.Fatal("the one that should wait came first")
 	}
 	loop.Do(func() { urgent.Drop(); first.Release() })
-	if second := <-got; second.engine != 2 {
+	if second := <-got; second.to.engine != 2 {
 		t.Fatal("another came")
 	}
 	loop.Do(func() {
@@ -102,7 +104,7 @@
 	}
 	loop.Do(first.Release)
 	loop.Do(func() {
-		if p.Forget(1); p.held != 1 || !first.closed {
+		if p.Forget(1); p.held != 1 || first.isOpen() {
 			t.Errorf("%d held after engine 1 has gone", p.held)
 		}
 	})
@@ -123,8 +125,8 @@
 	loop.Do(func() { p.Get(1, addr, false, false, user{}, take)() }) // an idle one
 	loop.Do(func() { p.Get(3, addr, true, false, user{}, take)() })  // a dial
 	loop.Do(func() { p.Get(1, addr, false, false, user{}, take) })
-	if last := <-got; last.engine != 1 {
-		t.Fatalf("engine %d answers a wait that was ended", last.engine)
+	if last := <-got; last.to.engine != 1 {
+		t.Fatalf("engine %d answers a wait that was ended", last.to.engine)
 	}
 }
 
@@ -144,7 +146,7 @@
 		t.Fatal("another connection was made")
 	}
 	loop.Do(first.Release) // nobody waits for this engine any more: the other's turn
-	if other := <-got; other.engine != 2 {
+	if other := <-got; other.to.engine != 2 {
 		t.Fatal("the other still waits")
 	}
 }
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"frostpier/internal/bulletin"
@@ -27,11 +28,15 @@
 	gcPercent  = 400 // the live heap is a few MB of the limit: collecting less often costs memory that is there
 	acceptFor  = 750 * time.Millisecond
 	deadlineIs = 3 * time.Second        // at most, for a stop
-	answerIn   = 200 * time.Millisecond // beyond the deadline, all that is open is answered
-	exitIn     = 500 * time.Millisecond // and beyond it the program ends
-	flushWait  = 50 * time.Millisecond
-	stuckWait  = 50 * time.Millisecond // and if it has not by then, it ends all the same
+	answerIn   = 200 * time.Millisecond // beyond the deadline, all that is open is answered, and what comes is refused
+	exitIn     = 450 * time.Millisecond // and beyond it all connections are shut
+	partIn     = 150 * time.Millisecond // in which their peers end them too
+	stuckWait  = 50 * time.Millisecond  // and if that has not ended by then, the program ends all the same
 	stacksMost = 64 << 10
+
+	listenFor   = 8 * time.Second // a former process that is killed or stopped gives its address back sooner
+	listenEvery = 100 * time.Millisecond
+
 	statsEvery = 10 * time.Second
 )
 
@@ -140,7 +145,7 @@
 	if p.version != nil { // who watches it hears of the process before it serves
 		loop.Do(func() { p.version.serve(false) })
 	}
-	if err := clients.Serve(conf.Listen); err != nil {
+	if stopped, err := p.listen(term, conf.Listen); err != nil || stopped {
 		return err
 	}
 	if err := p.startMySQL(); err != nil {
@@ -159,7 +164,7 @@
 			serving = false
 		}
 	}
-	overdue := time.NewTimer(p.longest + exitIn + flushWait + stuckWait)
+	overdue := time.NewTimer(p.longest + exitIn + partIn + stuckWait)
 	go loop.Do(p.drain)
 	if ended(ctx, overdue.C, log) {
 		log.Info("stopped", "counts", heart.Counts(), "invariants", keep.Broken())
@@ -167,6 +172,23 @@
 	return nil
 }
 
+// listen opens the platform's front. While the former process still holds the address it waits; it tells whether the stop
+// came first.
+func (p *program) listen(term context.Context, addr string) (stopped bool, err error) {
+	for end := time.Now().Add(listenFor); ; {
+		err := p.clients.Serve(addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return false, err
+		}
+		p.log.Warn("waits for the address", "listen", addr)
+		select {
+		case <-term.Done():
+			return true, nil
+		case <-time.After(listenEvery):
+		}
+	}
+}
+
 // ended waits for the end of a stop. A loop that hangs must not keep the program past its time: the kill would come,
 // and the next start might find the address still in use. The log then says where everything stood.
 func ended(ctx context.Context, overdue <-chan time.Time, log *slog.Logger) bool {
@@ -196,6 +218,7 @@
 	feed     *netio.Feed
 	longest  time.Duration     // deadline that a stop reckons with
 	operator settings.Operator // in force
+	parting  bool              // the connections are being shut
 	cancel   func()
 }
 
@@ -286,8 +309,8 @@
 	return err
 }
 
-// drain is the planned stop: ping tells at once, connections and requests are still taken for the stated time,
-// and all that was taken is answered before the end.
+// drain is the planned stop: ping tells at once, connections and requests are still taken for the stated time, all that
+// was taken is answered, and the connections are shut in an order in which nothing that came is lost.
 func (p *program) drain() {
 	p.log.Info("stopping", "open", p.gateway.Core.Open(), "out", p.gateway.Core.Out())
 	p.clients.Drain()
@@ -301,17 +324,42 @@
 		p.standby.Stop() // the next master takes the address over while this one answers what it has taken
 	}
 	p.loop.After(acceptFor, func() {
-		p.clients.Stop()
 		if p.mysql != nil {
 			p.mysql.Hush()
 		}
-		p.gateway.WhenIdle(p.end)
+		p.clients.Stop(p.settle)
 	})
-	p.loop.After(p.longest+answerIn, p.gateway.Close)
-	p.loop.After(p.longest+exitIn, p.end)
+	p.loop.After(max(p.longest+answerIn, min(acceptFor, p.longest+exitIn)), p.gateway.Close)
+	p.loop.After(p.longest+exitIn, p.part)
 }
 
-func (p *program) end() {
+// settle shuts the connections that rest as soon as nothing is open or out. A request that came on one of them just
+// then is answered first, and the rest are looked at again.
+func (p *program) settle() {
+	p.gateway.WhenIdle(func() {
+		if p.retire() {
+			p.part()
+			return
+		}
+		p.loop.After(acceptFor/lookShare, p.settle)
+	})
+}
+
+// lookShare is how many times in the time for accepting the connections are looked at.
+const lookShare = 15
+
+// retire shuts the clients' connections that rest, and tells whether that were all of them.
+func (p *program) retire() bool {
+	all := p.clients.Retire()
+	return (p.mysql == nil || p.mysql.Retire()) && all
+}
+
+// part shuts what connections there are, and ends the program when their peers have ended them too.
+func (p *program) part() {
+	if p.parting {
+		return
+	}
+	p.parting = true
 	p.clients.Finish()
 	if p.version != nil {
 		p.version.reporter.Stop()
@@ -322,7 +370,8 @@
 	if p.mysql != nil {
 		p.mysql.Finish()
 	}
-	p.loop.After(flushWait, p.cancel)
+	p.clients.WhenEmpty(p.cancel)
+	p.loop.After(partIn, p.cancel)
 }
 
 // stats logs the counts now and then.
