--- a/cmd/frostpier/spread_test.go
+++ b/cmd/frostpier/spread_test.go
@@ -33,6 +33,12 @@
 }
 
 func startSpread(t *testing.T, seed uint64) *spreadFleet {
+	t.Helper()
+	return startLoad(t, seed, 0.5, rig.Options{Gateways: spreadGateways, Operator: "\n[spread]\n"})
+}
+
+// startLoad starts gateways before engines, and clients that bring so much load.
+func startLoad(t *testing.T, seed uint64, load float64, opt rig.Options) *spreadFleet {
 	t.Helper()
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
@@ -41,11 +47,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(pool.Close)
-	s := &spreadFleet{pool: pool, traffic: standin.Traffic{Classes: standin.DefaultClasses(), Gateways: spreadGateways, Skew: 1,
+	s := &spreadFleet{pool: pool, traffic: standin.Traffic{Classes: standin.DefaultClasses(), Gateways: opt.Gateways, Skew: 1,
 		Groups: 20, Zipf: 0.7, Estimate: 0.5, Seed: seed}}
-	s.traffic.Rate = s.traffic.RateFor(0.5, spreadCores*spreadEngines)
-	s.testFleet = startOptions(t, rig.Options{Gateways: spreadGateways, Seed: seed, Engines: pool.Roster(), Operator: "\n[spread]\n",
-		Settings: func(n, self int) string { return standin.Settings(s.traffic.Classes, n, self, spreadCores) }})
+	s.traffic.Rate = s.traffic.RateFor(load, spreadCores*spreadEngines)
+	opt.Seed, opt.Engines = seed, pool.Roster()
+	opt.Settings = func(n, self int) string { return standin.Settings(s.traffic.Classes, n, self, spreadCores) }
+	s.testFleet = startOptions(t, opt)
 	pool.Follow(s.Bulletin)
 	s.clients = standin.NewClients(s.Clients(), s.traffic.Classes, seed, clock)
 	t.Cleanup(s.clients.Close)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -137,6 +137,12 @@
 	return l, f, fallen
 }
 
+// Pressed is the most that it was sent while cold, against what it bears.
+func (e *Engine) Pressed() (p Pressure) {
+	e.with(func() { p = e.model.Pressed() })
+	return p
+}
+
 func (e *Engine) with(do func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -71,8 +71,13 @@
 	done    float64
 	sent    []charge // work sent while cold
 	fallen  bool
+	pressed Pressure
 }
 
+// Pressure is the most that an engine was sent while cold, against what it bears: in seconds of work, over the span in which
+// it may fall.
+type Pressure struct{ Sent, Bears float64 }
+
 type charge struct {
 	at   time.Duration
 	work float64
@@ -105,10 +110,13 @@
 
 // Start takes a query in; false means that the engine is full. The caller has advanced the model to now.
 func (m *Model) Start(q Query) bool {
-	if len(m.queries) >= m.spec.Slots || m.fallen {
+	if m.fallen {
+		return false
+	}
+	m.charge(q.Work) // what is turned away presses too
+	if len(m.queries) >= m.spec.Slots {
 		return false
 	}
-	m.charge(q.Work)
 	r := &running{Query: q, left: q.Work}
 	if at := slices.Index(m.warm, q.Group); at >= 0 {
 		r.left *= 1 - q.IO*m.spec.WarmGain
@@ -137,8 +145,14 @@
 	// As the operators word it, a fall takes more than N + 3 x root of N + 3 queries of mean work; here in work.
 	bears := m.spec.FallTimes * m.spec.Cores * m.warmth() * m.spec.FallSpan.Seconds()
 	m.fallen = m.fallen || sum > bears+3*math.Sqrt(bears)+3
+	if m.pressed.Bears == 0 || sum/bears > m.pressed.Sent/m.pressed.Bears {
+		m.pressed = Pressure{sum, bears}
+	}
 }
 
+// Pressed is the most that it was sent while cold; zero if it never was.
+func (m *Model) Pressed() Pressure { return m.pressed }
+
 // Cancel takes a query out.
 func (m *Model) Cancel(id string) {
 	m.queries = slices.DeleteFunc(m.queries, func(r *running) bool { return r.ID == id })
