--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"os"
-	"slices"
 	"time"
 
 	"frostpier/internal/core"
@@ -27,10 +26,10 @@
 type Clients struct {
 	gateway *Gateway
 	log     *slog.Logger
-	most    int     // connections, those that are being shut included
-	leaving []*Conn // those, in the order in which that began
-	lines   int     // bytes of lines that are not whole, over all connections
-	unread  int     // and how many there are
+	most    int // connections, those that are being shut included
+	leaving *leaving
+	lines   int // bytes of lines that are not whole, over all connections
+	unread  int // and how many there are
 	open    map[*client]bool
 	serving bool
 	ln      net.Listener
@@ -57,8 +56,10 @@
 
 // NewClients makes the front for at most so many connections, whose unfinished lines may hold so many bytes.
 func NewClients(g *Gateway, log *slog.Logger, most, lines int) *Clients {
-	return &Clients{gateway: g, log: log, most: most, lines: lines, open: map[*client]bool{}, serving: true,
+	f := &Clients{gateway: g, log: log, most: most, lines: lines, open: map[*client]bool{}, serving: true,
 		patient: askWait, idleFor: clientIdle}
+	f.leaving = newLeaving(most, f.checkEmpty)
+	return f
 }
 
 // Serve listens and accepts until Stop.
@@ -126,8 +127,7 @@
 }
 
 func (f *Clients) checkEmpty() {
-	if f.emptied != nil && len(f.open) == 0 && len(f.leaving) == 0 {
-		run := f.emptied
+	if run := f.emptied; run != nil && len(f.open) == 0 && len(f.leaving.conns) == 0 {
 		f.emptied = nil
 		run()
 	}
@@ -140,25 +140,15 @@
 	}
 }
 
-// lingerShare is the part of the connections that may be in the course of being shut: each holds its descriptor until
-// its peer has ended it too, and peers that do not must not keep others out.
-const lingerShare = 8
-
 func (f *Clients) take(nc net.Conn) {
-	leave := max(1, f.most/lingerShare)
-	if len(f.open) >= max(1, f.most-leave) && !f.closeOneIdle() {
+	if len(f.open) >= max(1, f.most-f.leaving.most) && !f.closeOneIdle() {
 		f.log.Warn("too many client connections", "open", len(f.open))
 		nc.Close()
 		return
 	}
-	if len(f.leaving) > leave { // one that was told all goes before one that was not
-		i := max(0, slices.IndexFunc(f.leaving, func(c *Conn) bool { return c.phase == connLingering }))
-		f.leaving[i].Close()
-	}
 	c := &client{front: f, session: jsonrpc.NewSession(f.gateway.Core), calls: map[string]core.ID{}}
 	f.open[c] = true
 	c.conn = NewConn(f.gateway.Loop, nc, c, clientQueue)
-	c.conn.gone = func() { f.left(c.conn) }
 	c.since = f.gateway.Loop.Now()
 	c.idle = f.gateway.Loop.After(f.patient, c.askedNothing)
 }
@@ -185,12 +175,6 @@
 	return false
 }
 
-// left forgets a connection whose descriptor is given back.
-func (f *Clients) left(conn *Conn) {
-	f.leaving = slices.DeleteFunc(f.leaving, func(o *Conn) bool { return o == conn })
-	f.checkEmpty()
-}
-
 // missed ranks a connection with nothing open, from those that come by the hundreds and make no call to the one whose
 // first call is on its way: that would be lost.
 func (c *client) missed(now time.Duration) int {
@@ -280,8 +264,7 @@
 // end shuts a connection once what has been answered is written: the last answer may still be on its way.
 func (c *client) end(why string) {
 	c.front.log.Debug("client connection ended", "why", why)
-	c.front.leaving = append(c.front.leaving, c.conn)
-	c.conn.Finish()
+	c.front.leaving.shut(c.conn)
 	c.forget()
 }
 
--- a/internal/netio/crossings_test.go
+++ b/internal/netio/crossings_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"frostpier/internal/bulletin"
 	"frostpier/internal/core"
 	"frostpier/policy"
 )
@@ -61,7 +64,7 @@
 	sends(t, nc, ask(7, safe))
 	ends(t, nc)
 	until(t, "the descriptor", func() (gone bool) {
-		r.loop.Do(func() { gone = len(r.leaving) == 0 && c.conn.phase == connEnded })
+		r.loop.Do(func() { gone = len(r.leaving.conns) == 0 && c.conn.phase == connEnded })
 		return gone
 	})
 	if n := r.counts(); n.Taken != 0 {
@@ -95,7 +98,7 @@
 	})
 	cleanEnd(t, nc)
 	until(t, "the descriptor", func() (gone bool) {
-		r.loop.Do(func() { gone = len(r.leaving) == 0 })
+		r.loop.Do(func() { gone = len(r.leaving.conns) == 0 })
 		return gone
 	})
 }
@@ -440,3 +443,234 @@
 	io.WriteString(at, served)
 	saysLine(t, bufio.NewReader(nc), `"id":11,"result"`)
 }
+
+// watch is a scripted bulletin: each that follows it is handed over behind the line with which it asked.
+type watch struct {
+	t  *testing.T
+	ln net.Listener
+	at chan net.Conn
+}
+
+func newWatch(t *testing.T) *watch {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	w := &watch{t, ln, make(chan net.Conn, 16)}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			w.at <- nc
+		}
+	}()
+	return w
+}
+
+// asked is the next that follows, which must ask for what comes behind an event.
+func (w *watch) asked(after int) net.Conn {
+	w.t.Helper()
+	select {
+	case nc := <-w.at:
+		w.t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(patience))
+		line, err := bufio.NewReader(nc).ReadString('\n')
+		if want := fmt.Sprintf("after %d\n", after); err != nil || line != want {
+			w.t.Fatalf("%q, %v, want %q", line, err, want)
+		}
+		return nc
+	case <-time.After(patience):
+		w.t.Fatal("nobody follows")
+		return nil
+	}
+}
+
+// event is one line of a bulletin.
+func event(no int, e *engine, state string) string {
+	return fmt.Sprintf(`{"no":%d,"roster":{"reset":false,"instances":[{"instanceId":%q,"hostPort":%q,"zone":"z","machineType":"m","lifecycle":%q}]}}`+"\n",
+		no, e.id, e.ln.Addr(), state)
+}
+
+// follow has the rig's gateway follow a bulletin.
+func (r *rig) follow(w *watch) *Feed {
+	f := NewFeed(r.gateway, r.gateway.Log, "", &bulletin.Stream{})
+	r.loop.Do(func() { f.Follow(w.ln.Addr().String()) })
+	r.t.Cleanup(func() { r.loop.Do(func() { f.Follow("") }) })
+	return f
+}
+
+// heard waits until a feed has taken so many lines in.
+func (r *rig) heard(f *Feed, lines int) {
+	r.t.Helper()
+	until(r.t, "the list's lines", func() (all bool) {
+		r.loop.Do(func() { all = f.stream.Lines() >= lines })
+		return all
+	})
+}
+
+// untouched checks that a request finds no engine that takes new work.
+func (r *rig) untouched() {
+	r.t.Helper()
+	nc, c := r.client()
+	r.loop.Do(func() {
+		sends(r.t, nc, ask(90, safe))
+		c.conn.Quiet()
+		if n := r.gateway.Core.Counts(); n.Taken != 1 || n.Attempts != 0 {
+			r.t.Errorf("%+v", n)
+		}
+	})
+}
+
+// A watch falls silent, and a drain is told on it in the very moment in which it is given up: nothing of the old connection
+// counts, the new one asks behind the last event that counted, and the event is told once.
+func TestWatchSpeaksAsItIsGivenUp(t *testing.T) {
+	e := newEngine(t, "e")
+	r, w := newRig(t, 4), newWatch(t)
+	f := r.follow(w)
+	old := w.asked(0)
+	sends(t, old, event(1, e, "in_service"))
+	r.heard(f, 1)
+	r.loop.Do(func() {
+		sends(t, old, event(2, e, "terminating"))
+		r.queued(1) // it is read, and waits for the loop
+		f.anew()
+	})
+	next := w.asked(1) // so nothing was heard of the old one
+	sends(t, next, event(2, e, "terminating"))
+	r.heard(f, 2)
+	r.untouched()
+	if n, err := old.Read(make([]byte, 1)); n > 0 || err == nil {
+		t.Fatal("the old watch goes on")
+	}
+}
+
+// A watch that falls silent after half a line is given up, whatever it had said; what it tells next time counts from the last
+// whole event.
+func TestSilentWatchIsGivenUp(t *testing.T) {
+	e := newEngine(t, "e")
+	r, w := newRig(t, 4), newWatch(t)
+	f := r.follow(w)
+	first := w.asked(0)
+	r.loop.Do(func() { f.patient = 50 * time.Millisecond })
+	sends(t, first, event(1, e, "in_service")+event(2, e, "terminating")[:40])
+	r.heard(f, 1) // the wait for the next line has begun
+	r.loop.Do(func() { f.patient = time.Hour })
+	sends(t, w.asked(1), event(2, e, "terminating"))
+	r.heard(f, 2)
+	r.untouched()
+}
+
+// SIGHUP moves discovery while a call is out, and the new one tells at once that the call's engine drains: the call's answer is
+// passed on, and the next request goes elsewhere.
+func TestDiscoveryMovesDuringACall(t *testing.T) {
+	e, other := newEngine(t, "e"), newEngine(t, "other")
+	r, first, second := newRig(t, 8), newWatch(t), newWatch(t)
+	f := r.follow(first)
+	sends(t, first.asked(0), event(1, e, "in_service"))
+	r.heard(f, 1)
+	nc, c := r.client()
+	sends(t, nc, ask(11, safe))
+	at := e.conn()
+	at.call()
+	r.loop.Do(func() { f.Follow(second.ln.Addr().String()) })
+	sends(t, second.asked(1), event(2, e, "terminating")+event(3, other, "in_service"))
+	r.heard(f, 3)
+	r.loop.Do(func() {
+		sends(t, at.Conn, served)
+		sends(t, nc, ask(12, safe))
+		c.conn.Quiet()
+	})
+	in := bufio.NewReader(nc)
+	saysLine(t, in, `"id":11,"result"`)
+	next := other.conn()
+	next.call()
+	io.WriteString(next, served)
+	saysLine(t, in, `"id":12,"result"`)
+}
+
+// A query of a MySQL client that stands unread as the connections are shut is taken first.
+func TestMySQLBytesUnreadAsTheConnectionIsShut(t *testing.T) {
+	loop, p := pool(t, 1)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f := NewMySQLFront(NewGateway(loop, nil, p, log), p, log, MySQLSetup{Listen: "127.0.0.1:0", MostOpen: 8})
+	loop.Do(func() {
+		if err := f.Listen(); err != nil {
+			t.Error(err)
+		}
+	})
+	nc, err := net.Dial("tcp", f.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	if _, err := nc.Read(make([]byte, 1)); err != nil { // the greeting
+		t.Fatal(err)
+	}
+	loop.Do(func() {
+		sends(t, nc, "\x20\x00\x00\x01") // a login's head
+		if f.Retire() || len(f.open) != 1 {
+			t.Error("shut over bytes that nobody read")
+		}
+		if !f.Retire() {
+			t.Error("a connection that is quiet was not shut")
+		}
+		f.Hush()
+	})
+	if _, err := io.Copy(io.Discard, nc); err != nil {
+		t.Fatalf("%v, want the end", err)
+	}
+}
+
+// Clients that never end their side hold few descriptors while they are shut: others go on being taken.
+func TestFewConnectionsLinger(t *testing.T) {
+	r := newRig(t, 4)
+	for range 3 * r.leaving.most {
+		nc, c := r.client()
+		r.loop.Do(func() { c.retire("others came") })
+		cleanEnd(t, nc) // and the client stays
+		r.loop.Do(func() {
+			if n := len(r.leaving.conns); n > r.leaving.most+1 {
+				t.Errorf("%d connections are being shut, of %d at most", n, r.leaving.most)
+			}
+		})
+	}
+}
+
+// An attempt that was called off counts as out until its engine has confirmed that, and its answer may still come first.
+func TestCalledOffIsOutUntilConfirmed(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		e := newEngine(t, "e")
+		r := newRig(t, 4, e)
+		nc, _ := r.client()
+		sends(t, nc, ask(11, safe))
+		at := e.conn()
+		at.call()
+		sends(t, nc, `{"jsonrpc":"2.0","method":"abort","params":{"id":11}}`+"\n")
+		side := e.conn()
+		if call := side.call(); !strings.HasPrefix(call, "DELETE ") {
+			t.Fatalf("%q, want the DELETE", call)
+		}
+		r.loop.Do(func() {
+			if out := r.gateway.Core.Out(); out != 1 {
+				t.Errorf("%d attempts are out before the engine has confirmed", out)
+			}
+		})
+		if answered { // read before the 204 is written
+			sends(t, at.Conn, served)
+		} else {
+			sends(t, side.Conn, confirmed)
+		}
+		until(t, "the attempt's end", func() (over bool) {
+			r.loop.Do(func() { over = r.gateway.Core.Out() == 0 })
+			return over
+		})
+		in := bufio.NewReader(nc)
+		sends(t, nc, ping)
+		saysLine(t, in, `"serving"`) // and no answer to what was called off
+	}
+}
--- a/internal/netio/feed.go
+++ b/internal/netio/feed.go
@@ -26,11 +26,12 @@
 	silence *Timer
 	again   *Timer
 	undial  func() // gives up the dial under way
+	patient time.Duration
 }
 
 // NewFeed makes a Feed that goes on behind what the stream knows.
 func NewFeed(g *Gateway, log *slog.Logger, addr string, stream *bulletin.Stream) *Feed {
-	return &Feed{gateway: g, log: log, addr: addr, stream: stream}
+	return &Feed{gateway: g, log: log, addr: addr, stream: stream, patient: feedSilence}
 }
 
 // Follow leaves whatever it followed and follows the bulletin at addr, behind the last event that it has. It is
@@ -93,7 +94,7 @@
 // listen starts the wait for the next line anew.
 func (f *Feed) listen() {
 	f.silence.Stop()
-	f.silence = f.gateway.Loop.After(feedSilence, func() {
+	f.silence = f.gateway.Loop.After(f.patient, func() {
 		f.log.Warn("bulletin is silent")
 		f.anew()
 	})
--- /dev/null
+++ b/internal/netio/leaving.go
@@ -0,0 +1,35 @@
+package netio
+
+import "slices"
+
+// lingerShare is the part of a front's connections that may be in the course of being shut: each holds its descriptor until its
+// peer has ended it too, and peers that do not must not keep others out.
+const lingerShare = 8
+
+// leaving are the connections of a front that are being shut, in the order in which that began.
+type leaving struct {
+	conns []*Conn
+	most  int
+	tell  func() // runs whenever one has gone
+}
+
+func newLeaving(connections int, tell func()) *leaving {
+	return &leaving{most: max(1, connections/lingerShare), tell: tell}
+}
+
+// shut shuts a connection. Where too many are being shut, one that was told all there is goes before one that was not.
+func (l *leaving) shut(c *Conn) {
+	if !c.isOpen() {
+		return
+	}
+	c.gone = func() {
+		l.conns = slices.DeleteFunc(l.conns, func(o *Conn) bool { return o == c })
+		l.tell()
+	}
+	l.conns = append(l.conns, c)
+	c.Finish()
+	if len(l.conns) > l.most {
+		i := max(0, slices.IndexFunc(l.conns, func(o *Conn) bool { return o.phase == connLingering }))
+		l.conns[i].Close()
+	}
+}
--- a/internal/netio/mysqlfront.go
+++ b/internal/netio/mysqlfront.go
@@ -36,6 +36,8 @@
 	setup   MySQLSetup
 	ln      net.Listener
 	open    map[*mysqlClient]bool
+	leaving *leaving // beside those that are open
+	emptied func()   // runs once there are none of either
 	threads uint32
 	again   *Timer
 	patient time.Duration // how long a client may take to log in
@@ -43,8 +45,9 @@
 
 // NewMySQLFront makes the front; pool is for its connections to engines alone.
 func NewMySQLFront(g *Gateway, pool *Pool, log *slog.Logger, setup MySQLSetup) *MySQLFront {
-	return &MySQLFront{gateway: g, pool: pool, log: log, setup: setup, open: map[*mysqlClient]bool{},
-		patient: loginWait}
+	f := &MySQLFront{gateway: g, pool: pool, log: log, setup: setup, open: map[*mysqlClient]bool{}, patient: loginWait}
+	f.leaving = newLeaving(setup.MostOpen, f.checkEmpty)
+	return f
 }
 
 // Listen opens the listener; it is called on the loop. A second call while it is open does nothing.
@@ -95,6 +98,19 @@
 	return len(f.open) == 0
 }
 
+// WhenEmpty sets what runs once no connection is open or being shut.
+func (f *MySQLFront) WhenEmpty(run func()) {
+	f.emptied = run
+	f.checkEmpty()
+}
+
+func (f *MySQLFront) checkEmpty() {
+	if run := f.emptied; run != nil && len(f.open) == 0 && len(f.leaving.conns) == 0 {
+		f.emptied = nil
+		run()
+	}
+}
+
 // Finish shuts the connections once what they were to get is written.
 func (f *MySQLFront) Finish() {
 	for c := range f.open {
@@ -166,6 +182,7 @@
 	c.login.Stop()
 	delete(c.front.open, c)
 	c.leave()
+	c.front.checkEmpty()
 }
 
 func (c *mysqlClient) leave() {
@@ -177,7 +194,7 @@
 
 func (c *mysqlClient) end() {
 	c.login.Stop()
-	c.conn.Finish()
+	c.front.leaving.shut(c.conn)
 	delete(c.front.open, c)
 	c.leave()
 }
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -32,10 +32,10 @@
 
 // mysqlSetup checks the file's accounts against the classes that there are.
 func mysqlSetup(m *settings.MySQL, c *core.Core, most int) (netio.MySQLSetup, error) {
-	out := netio.MySQLSetup{Listen: m.Listen, MostOpen: most, User: m.EngineUser, Password: m.EnginePassword,
+	out := netio.MySQLSetup{Listen: m.Listen, MostOpen: most * 8 / 9, User: m.EngineUser, Password: m.EnginePassword,
 		EnginePort: strconv.Itoa(m.EnginePort), Engines: m.Engines, Accounts: map[string]*mysql.Account{}}
 	if m.MostClients > 0 {
-		out.MostOpen = min(most, m.MostClients)
+		out.MostOpen = min(out.MostOpen, m.MostClients)
 	}
 	for _, a := range m.Accounts {
 		class, known := c.Class(a.Class)
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -370,7 +370,13 @@
 	if p.mysql != nil {
 		p.mysql.Finish()
 	}
-	p.clients.WhenEmpty(p.cancel)
+	p.clients.WhenEmpty(func() {
+		if p.mysql == nil {
+			p.cancel()
+			return
+		}
+		p.mysql.WhenEmpty(p.cancel)
+	})
 	p.loop.After(partIn, p.cancel)
 }
 
