Let classes that must not run twice use idle connections again

The look at an idle connection just before the first byte leaves only what crosses on the wire, and there such a query fails and goes nowhere again (TestUnsafeQueryGoesOnceWhenItsConnectionEnds).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -39,7 +39,6 @@
 	Attempt int
 	Engine  Engine
 	Timeout time.Duration
-	Once    bool // its class must not run twice: an idle connection, which may end under it, would leave that open
 }
 
 // Stop calls an attempt off; the host reports Ended once it is not out any more.
@@ -394,8 +393,7 @@
 		c.classOf(r).Further++
 	}
 	c.recordSend(now, s.ID, n)
-	c.actions = append(c.actions, Start{ID: s.ID, Attempt: n, Engine: *e, Timeout: s.Timeout,
-		Once: c.host.Module.Classes[r.class].Effect == policy.Unsafe})
+	c.actions = append(c.actions, Start{ID: s.ID, Attempt: n, Engine: *e, Timeout: s.Timeout})
 }
 
 // reply gives the final answer, once.
--- a/internal/netio/flight.go
+++ b/internal/netio/flight.go
@@ -68,7 +68,7 @@
 				l.link.Write(s.Bytes)
 			}
 		case attempt.Release:
-			f.leave(s.Lane, !(f.start.Once && s.Lane == attempt.Main)) // few would ever use it again
+			f.leave(s.Lane, true)
 		case attempt.Drop:
 			f.leave(s.Lane, false)
 		case attempt.Set:
@@ -100,8 +100,7 @@
 	l := &lane{flight: f, lane: s.Lane}
 	f.lanes[s.Lane] = l
 	e := f.start.Engine
-	fresh := s.Fresh || f.start.Once && s.Lane == attempt.Main
-	l.stop = f.pool.Get(e.ID, f.addr, fresh, s.Lane == attempt.Side, l, func(link *Link, err error) {
+	l.stop = f.pool.Get(e.ID, f.addr, s.Fresh, s.Lane == attempt.Side, l, func(link *Link, err error) {
 		l.stop = nil
 		if err != nil {
 			f.carryOut(f.machine.Failed(l.lane))
