--- a/cmd/frostpier/crossings_test.go
+++ b/cmd/frostpier/crossings_test.go
@@ -157,12 +157,20 @@
 	}
 }
 
-// Restarted gateways are ready soon whatever state discovery is in: none of these waits for it.
+// Restarted gateways are ready soon whatever state discovery is in, and though a crowd of idle clients takes every descriptor that
+// clients may have as soon as the address is there: none of these is waited for.
 func TestReadyWhateverDiscoveryDoes(t *testing.T) {
 	e := newHTTPEngine(t)
 	silent := standIn(t, func(nc net.Conn) { io.Copy(io.Discard, nc) })
-	for name, addr := range map[string]string{"down": "127.0.0.1:1", "silent": silent.Addr().String()} {
-		n := startNodeWith(t, "", func(conf map[string]any) { conf["bulletin"] = addr }, inService("e1", e.addr()))
+	const sockets = 128
+	for name, c := range map[string]struct {
+		bulletin string
+		crowd    int
+	}{"down": {"127.0.0.1:1", 0}, "silent": {silent.Addr().String(), 0}, "a crowd, and down": {"127.0.0.1:1", sockets / 2}} {
+		n := startNodeWith(t, "", func(conf map[string]any) {
+			conf["bulletin"] = c.bulletin
+			conf["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets}
+		}, inService("e1", e.addr()))
 		for round := range 3 {
 			at := time.Now()
 			waitFor(t, "its address", func() bool {
@@ -172,9 +180,12 @@
 				}
 				return err == nil
 			})
-			c := dialRPC(t, n)
-			c.ask(2, "lookup", name, 3000, "")
-			c.served(2, "a\tb\tc\n")
+			for range c.crowd {
+				dialRPC(t, n)
+			}
+			client := dialRPC(t, n)
+			client.ask(2, "lookup", name, 3000, "")
+			client.served(2, "a\tb\tc\n")
 			if took := time.Since(at); took > 10*time.Second {
 				t.Fatalf("%s: ready after %v", name, took)
 			}
--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -104,6 +104,10 @@
 // asked already; then done runs. Both on the loop.
 func (f *Clients) Stop(done func()) {
 	f.stopped = done
+	if f.ln == nil {
+		done()
+		return
+	}
 	if tcp, ok := f.ln.(*net.TCPListener); ok && tcp.SetDeadline(time.Now().Add(acceptPause)) == nil {
 		return
 	}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -30,7 +30,8 @@
 	deadlineIs = 3 * time.Second        // at most, for a stop
 	answerIn   = 200 * time.Millisecond // beyond the deadline, all that is open is answered, and what comes is refused
 	exitIn     = 450 * time.Millisecond // and beyond it all connections are shut
-	partIn     = 150 * time.Millisecond // in which their peers end them too
+	partIn     = 150 * time.Millisecond // in which their peers end them too, at the latest ...
+	partFor    = 500 * time.Millisecond // ... and for so long they may where there is time
 	stuckWait  = 50 * time.Millisecond  // and if that has not ended by then, the program ends all the same
 	stacksMost = 64 << 10
 
@@ -331,6 +332,7 @@
 	})
 	p.loop.After(max(p.longest+answerIn, min(acceptFor, p.longest+exitIn)), p.gateway.Close)
 	p.loop.After(p.longest+exitIn, p.part)
+	p.loop.After(p.longest+exitIn+partIn, p.cancel)
 }
 
 // settle shuts the connections that rest as soon as nothing is open or out. A request that came on one of them just
@@ -377,7 +379,7 @@
 		}
 		p.mysql.WhenEmpty(p.cancel)
 	})
-	p.loop.After(partIn, p.cancel)
+	p.loop.After(partFor, p.cancel)
 }
 
 // stats logs the counts now and then.
