Close a connection on which an answer without news came twice

Found by reading: a second answer 202 that comes milliseconds late is taken for the answer to the next call, so that from then on every call seems answered one call early.

Change: an answer without news that comes before the engine can have waited for some, or the same news at once again, puts the connection in doubt (httpq.Query.suspect, by an alarm of its own); it is closed when the query has ended. Nothing else changes for the query. TestSecondAnswerWithoutNewsSpoilsTheConnection, which fails without it.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -25,6 +25,7 @@
 	Silence Alarm = iota // no answer to a call for longer than it takes
 	Lost                 // the engine is out of reach for so long that the attempt cannot be out any more
 	Again                // pause before a further try to reach the engine
+	Early                // no answer without news can have come before it
 	Alarms
 )
 
--- a/internal/httpq/httpq_test.go
+++ b/internal/httpq/httpq_test.go
@@ -426,3 +426,30 @@
 	}
 	t.Fatalf("%d bytes are held", len(r.buf))
 }
+
+// Guards against a query that is served with another's answer: an answer without news that comes twice makes every call after it
+// look answered one too early, and the last answer comes when the connection serves somebody else. Such a connection is closed.
+func TestSecondAnswerWithoutNewsSpoilsTheConnection(t *testing.T) {
+	bare, note, other := response(202, ""), response(202, "", "X-Tell: done", "Figure: 0.5"), response(202, "", "X-Tell: done", "Figure: 0.6")
+	for name, c := range map[string]struct {
+		first, second []byte
+		due           bool // the second comes when an answer without news is due
+		spoils        bool
+	}{
+		"none twice at once": {bare, bare, false, true}, "news twice at once": {note, note, false, true},
+		"none twice in time": {bare, bare, true, false}, "other news": {note, other, false, false},
+		"news, then none in time": {note, bare, true, false}, "news again in time": {note, note, true, false},
+	} {
+		q := begin(t)
+		q.Rang(attempt.Early)
+		q.Fed(attempt.Main, c.first)
+		if c.due {
+			q.Rang(attempt.Early)
+		}
+		q.Fed(attempt.Main, c.second)
+		steps := q.Fed(attempt.Main, response(200, "a\n", "Page-Count: 1"))
+		if e := endOf(steps); e == nil || e.Outcome != policy.OK || drops(steps, attempt.Main) != c.spoils {
+			t.Errorf("%s: %+v", name, steps)
+		}
+	}
+}
--- a/internal/httpq/query.go
+++ b/internal/httpq/query.go
@@ -21,6 +21,7 @@
 	pageSilent = 150 * time.Millisecond         // and a page at once
 	lostWait   = pollWait + unasked + slack
 	againWait  = 150 * time.Millisecond
+	earlyWait  = pollWait / 2 // well before an answer with no news is due
 	maxPages   = 64
 	maxResult  = 48000
 	tries      = 4 // of a page, and of an answer that came spoilt
@@ -59,11 +60,14 @@
 	report  string
 	deletes int
 	leave   attempt.Leave
-	posted  int  // how often the POST was written
-	due     bool // it is to be written anew
-	heard   bool // something came since it was
-	unread  bool // its connection broke before: perhaps the engine never had it
-	mute    bool // nothing came of the POST in its time
+	posted  int       // how often the POST was written
+	due     bool      // it is to be written anew
+	heard   bool      // something came since it was
+	unread  bool      // its connection broke before: perhaps the engine never had it
+	mute    bool      // nothing came of the POST in its time
+	early   bool      // the answer to the last call cannot be one without news yet
+	doubt   bool      // an answer on the main lane's connection may have been the second to a call: more may be under way
+	news    [2]string // of the last answer on it
 	steps   []attempt.Step
 }
 
@@ -89,6 +93,9 @@
 		return q.flush(attempt.Release{Lane: lane})
 	}
 	q.up[lane], q.read[lane] = true, Reader{}
+	if lane == attempt.Main {
+		q.doubt, q.news = false, [2]string{}
+	}
 	switch {
 	case lane == attempt.Side:
 		q.write(attempt.Side, q.call("DELETE", ""))
@@ -185,6 +192,8 @@
 func (q *Query) Rang(a attempt.Alarm) []attempt.Step {
 	switch {
 	case q.state == ended:
+	case a == attempt.Early:
+		q.early = false
 	case a == attempt.Lost && (q.state == running || q.state == closing):
 		if q.state == running {
 			q.final = policy.Reset
@@ -251,6 +260,7 @@
 	switch {
 	case res.Status == 202:
 		q.spoilt, q.unread = 0, false
+		q.suspect(res)
 		q.note(res)
 		if q.state == closing { // no further poll: the engine gives it up by itself, if the DELETE fails
 			q.do(attempt.Set{Alarm: attempt.Lost, After: unasked + slack})
@@ -323,6 +333,15 @@
 	}
 }
 
+// suspect looks for a second answer to the call before: one without news that comes before the engine can have waited for
+// some, or the last news once more. All that is asked from then on is answered one call late, and the last answer is still to
+// come when the query has ended: the connection must not serve another.
+func (q *Query) suspect(res *Response) {
+	news := [2]string{res.Head.Get("X-Tell"), res.Head.Get("Figure")}
+	q.doubt = q.doubt || q.early && (news[0] == "" || news == q.news)
+	q.news = news
+}
+
 func (q *Query) note(res *Response) {
 	if res.Head.Get("X-Tell") != "done" {
 		return
@@ -398,7 +417,9 @@
 	q.do(attempt.Write{Lane: lane, Bytes: b})
 	switch {
 	case lane == attempt.Main && q.state == running:
-		q.do(attempt.Set{Alarm: attempt.Silence, After: pollSilent}, attempt.Set{Alarm: attempt.Lost, After: lostWait})
+		q.early = true
+		q.do(attempt.Set{Alarm: attempt.Silence, After: pollSilent}, attempt.Set{Alarm: attempt.Lost, After: lostWait},
+			attempt.Set{Alarm: attempt.Early, After: earlyWait})
 	case lane == attempt.Main && q.state == paging:
 		q.do(attempt.Set{Alarm: attempt.Silence, After: pageSilent})
 	}
@@ -423,7 +444,7 @@
 	}
 	for _, lane := range []attempt.Lane{attempt.Main, attempt.Side} {
 		switch {
-		case q.up[lane] && !q.asked[lane] && q.read[lane].Idle():
+		case q.up[lane] && !q.asked[lane] && q.read[lane].Idle() && !(q.doubt && lane == attempt.Main):
 			q.do(attempt.Release{Lane: lane})
 		default:
 			q.do(attempt.Drop{Lane: lane})
