Ask at the first byte whether an engine is still where it was, and serve what came on a MySQL listener

Found by reading. A query whose engine moved while a connection was dialled went to the former address, which another engine may have by then (core.MaySend asked for the engine's state alone). MySQLFront.Hush, for a stop or for the next VRRP master, closed the listener over connections that the machine had accepted, and reset them.

Tests, seen to fail without: TestAddressIsLookedAtAgainAtTheFirstByte, TestMySQLConnectionAcceptedAsTheListenerCloses.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,7 @@
 
 type attempt struct {
 	engine  policy.EngineID
+	addr    string // of the engine when it was chosen
 	started time.Duration
 	timeout time.Duration
 	sent    bool // its first byte was allowed out
@@ -249,7 +250,7 @@
 }
 
 // MaySend is asked when an attempt's first byte could go out, after any dial: the engine may have been listed as
-// draining meanwhile, the client's time may be over, the attempt called off. It returns the time that is left. Again
+// draining or elsewhere meanwhile (another may have its address), the client's time may be over, the attempt called off. It returns the time that is left. Again
 // is set where the attempt went out and its engine seems not to have read it: then the module has the last word.
 func (c *Core) MaySend(now time.Duration, id ID, n int, again bool) (time.Duration, bool) {
 	r := c.requests[id]
@@ -259,7 +260,7 @@
 	a := r.attempts[n]
 	left := min(r.end, a.started+a.timeout) - now
 	e := c.engines[a.engine]
-	if a.over || r.replied || left <= 0 || e == nil || e.Health != policy.Ready {
+	if a.over || r.replied || left <= 0 || e == nil || e.Health != policy.Ready || e.Addr != a.addr {
 		return 0, false
 	}
 	for i, other := range r.attempts {
@@ -384,7 +385,7 @@
 		return
 	}
 	n := len(r.attempts)
-	r.attempts = append(r.attempts, &attempt{engine: s.Engine, started: now, timeout: s.Timeout})
+	r.attempts = append(r.attempts, &attempt{engine: s.Engine, addr: e.Addr, started: now, timeout: s.Timeout})
 	r.out++
 	c.out++
 	c.counts.Attempts++
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -347,3 +347,21 @@
 		t.Fatalf("%+v", actions)
 	}
 }
+
+// Guards against a query that goes to another engine than was chosen: the list says that the chosen one is elsewhere now, while a
+// connection to its former address is made, and addresses change hands.
+func TestAddressIsLookedAtAgainAtTheFirstByte(t *testing.T) {
+	c, _ := newCore(t)
+	c.Roster(start, true, []Line{engineLine("a", policy.Ready)})
+	id, actions := c.Take(start, ask)
+	s := first[Start](t, actions)
+	moved := engineLine("a", policy.Ready)
+	moved.Addr = "elsewhere:1"
+	c.Roster(start, false, []Line{moved})
+	if _, ok := c.MaySend(start+time.Millisecond, id, s.Attempt, false); ok {
+		t.Fatal("the former address gets the query")
+	}
+	if s = first[Start](t, c.Ended(start+time.Millisecond, id, 0, policy.Moot, nil)); s.Engine.Addr != moved.Addr {
+		t.Fatalf("%+v", s)
+	}
+}
--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -108,10 +108,15 @@
 		done()
 		return
 	}
-	if tcp, ok := f.ln.(*net.TCPListener); ok && tcp.SetDeadline(time.Now().Add(acceptPause)) == nil {
+	stopAccepting(f.ln)
+}
+
+// stopAccepting closes a listener behind what the machine has accepted by now.
+func stopAccepting(ln net.Listener) {
+	if tcp, ok := ln.(*net.TCPListener); ok && tcp.SetDeadline(time.Now().Add(acceptPause)) == nil {
 		return
 	}
-	f.ln.Close()
+	ln.Close()
 }
 
 // Retire shuts the connections on which nothing is open and nothing has come, and tells whether that were all of them.
--- a/internal/netio/crossings_test.go
+++ b/internal/netio/crossings_test.go
@@ -672,3 +672,32 @@
 		saysLine(t, in, `"serving"`) // and no answer to what was called off
 	}
 }
+
+// The MySQL listener goes to another gateway, or stops, over connections that the machine has accepted: they are served here.
+func TestMySQLConnectionAcceptedAsTheListenerCloses(t *testing.T) {
+	loop, p := pool(t, 1)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f := NewMySQLFront(NewGateway(loop, nil, p, log), p, log, MySQLSetup{Listen: "127.0.0.1:0", MostOpen: 8})
+	var late []net.Conn
+	loop.Do(func() {
+		if err := f.Listen(); err != nil {
+			t.Error(err)
+		}
+		for range 8 {
+			nc, err := net.Dial("tcp", f.Addr().String())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { nc.Close() })
+			late = append(late, nc)
+		}
+		f.Hush()
+	})
+	for _, nc := range late {
+		nc.SetDeadline(time.Now().Add(patience))
+		if _, err := nc.Read(make([]byte, 1)); err != nil { // the greeting
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/netio/mysqlfront.go
+++ b/internal/netio/mysqlfront.go
@@ -73,11 +73,11 @@
 	return f.ln.Addr()
 }
 
-// Hush closes the listener; connections that are open stay.
+// Hush closes the listener; connections that are open stay, and those that the machine has accepted are still taken.
 func (f *MySQLFront) Hush() {
 	f.again.Stop()
 	if f.ln != nil {
-		f.ln.Close()
+		stopAccepting(f.ln)
 		f.ln = nil
 		f.log.Info("mysql front listens no more")
 	}
