Take in what a client has sent before an attempt for it goes out

Found by reading: an abort that stands unread, as the loop is behind or a dial comes through first, was not seen by the look for a closed connection, and the attempt began more than 0.1 s after it. Now what the client has sent is taken in (Caller.Listen) between the dial and the first byte; a resend within an attempt is not made while anything waits unread. A connection that came up for an attempt that is called off then serves others instead of being closed.

TestNothingIsSentForAClientThatHasGone has aborts beside closes; it fails without Listen and without either look.

--- a/internal/httpq/query.go
+++ b/internal/httpq/query.go
@@ -216,8 +216,8 @@
 // GiveUp calls the attempt off; outcome is what it ends with once the engine has confirmed.
 func (q *Query) GiveUp(outcome policy.Outcome) []attempt.Step {
 	switch q.state {
-	case opening: // nothing was written
-		q.do(attempt.Drop{Lane: attempt.Main})
+	case opening: // nothing was written: a connection that is there serves others
+		q.do(attempt.Release{Lane: attempt.Main})
 		q.end(policy.Moot)
 	case running:
 		q.giveUp(outcome)
--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -354,8 +354,11 @@
 	return fly(g, g.Pool, a, a.Engine.Addr, machine, steps, func([]byte) {})
 }
 
-// Gone tells whether the client has closed its connection, also if that is not read yet.
-func (r *request) Gone() bool { return r.client.conn.PeerGone() }
+// Listen takes in what the client has sent by now.
+func (r *request) Listen() { r.client.conn.Quiet() }
+
+// Unheard tells what of the client is not taken in yet.
+func (r *request) Unheard() (some, gone bool) { return r.client.conn.peek() }
 
 // Answer writes the one answer of the call.
 func (r *request) Answer(reply core.Reply, result any) {
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -187,12 +187,6 @@
 	return len(c.arrived) > 0, c.eof
 }
 
-// PeerGone tells whether the peer has ended its side, also if its end is not read yet and stands behind other bytes.
-func (c *Conn) PeerGone() bool {
-	_, eof := c.peek()
-	return eof
-}
-
 // Quiet hands the owner what has come by now, and tells whether nothing had. A connection that is quiet may be
 // half-closed at once: what comes after that crossed it on the way.
 func (c *Conn) Quiet() bool {
--- a/internal/netio/crossings_test.go
+++ b/internal/netio/crossings_test.go
@@ -122,32 +122,36 @@
 	cleanEnd(t, in)
 }
 
-// A client that has gone gets no attempt, though nobody has read its close yet: not the first, not one for which it waited in
-// line, not a further one.
+// A client that has closed or called its request off gets no attempt, though nobody has read that yet: not the first, not one for
+// which it waited in line, not a further one.
 func TestNothingIsSentForAClientThatHasGone(t *testing.T) {
-	t.Run("first", func(t *testing.T) {
-		e := newEngine(t, "e")
-		r := newRig(t, 4, e)
-		nc, c := r.deafClient()
-		r.loop.Do(func() {
+	for how, leaves := range map[string]func(net.Conn){
+		"closed":  func(nc net.Conn) { sends(t, nc, ask(12, safe)[:10]); ends(t, nc) }, // behind other bytes
+		"aborted": func(nc net.Conn) { sends(t, nc, `{"jsonrpc":"2.0","method":"abort","params":{"id":11}}`+"\n") },
+	} {
+		t.Run("first, "+how, func(t *testing.T) {
+			e := newEngine(t, "e")
+			r := newRig(t, 4, e)
+			nc, c := r.deafClient()
+			r.loop.Do(func() {
+				sends(t, nc, ask(11, safe))
+				c.conn.Quiet()
+				r.queued(1) // the dial is through
+				leaves(nc)
+			})
+			r.nobodyServed(e.conn(), e)
+		})
+		t.Run("in line, "+how, func(t *testing.T) {
+			e := newEngine(t, "e")
+			r := newRig(t, 4)
+			nc, c := r.deafClient()
 			sends(t, nc, ask(11, safe))
-			c.conn.Quiet()
-			r.queued(1) // the dial is through
-			sends(t, nc, ask(12, safe)[:10])
-			ends(t, nc) // behind other bytes
+			r.loop.Do(func() { c.conn.Quiet() })
+			leaves(nc)
+			r.tell(e)
+			r.nobodyServed(e.conn(), e)
 		})
-		r.nobodyServed(e.conn(), e)
-	})
-	t.Run("in line", func(t *testing.T) {
-		e := newEngine(t, "e")
-		r := newRig(t, 4)
-		nc, c := r.deafClient()
-		sends(t, nc, ask(11, safe))
-		r.loop.Do(func() { c.conn.Quiet() })
-		ends(t, nc)
-		r.tell(e)
-		r.nobodyServed(e.conn(), e)
-	})
+	}
 	t.Run("further", func(t *testing.T) {
 		e, other := newEngine(t, "e"), newEngine(t, "other")
 		r := newRig(t, 4, e)
--- a/internal/netio/flight.go
+++ b/internal/netio/flight.go
@@ -107,6 +107,9 @@
 			return
 		}
 		l.link = link
+		if f.gateway.Listen(f.start.ID); l.gone { // the client has called it off
+			return
+		}
 		f.carryOut(f.machine.Opened(l.lane, &link.Memory, func(again bool) (time.Duration, bool) {
 			return f.gateway.MaySend(f.start.ID, f.start.Attempt, again)
 		}))
--- a/internal/netio/gateway.go
+++ b/internal/netio/gateway.go
@@ -14,8 +14,11 @@
 	Attempt(a core.Start) Attempt
 	// Answer gives the final answer; result is what the attempt that served it brought.
 	Answer(r core.Reply, result any)
-	// Gone tells whether the client has ended its connection by now, also if nobody has read that yet.
-	Gone() bool
+	// Listen takes in what the client has sent by now. It is not called from within one of the caller's own calls.
+	Listen()
+	// Unheard tells whether something of the client's waits to be taken in, and whether the client has ended its connection,
+	// which nobody may have read yet.
+	Unheard() (some, gone bool)
 }
 
 // Attempt is one that is out.
@@ -93,12 +96,23 @@
 // MaySend asks leave for an attempt's first byte, or for its first byte again. For a client that has gone meanwhile
 // nothing is sent: its close may stand unread behind other bytes, or wait for this loop.
 func (g *Gateway) MaySend(id core.ID, n int, again bool) (time.Duration, bool) {
-	if c := g.calls[id]; c == nil || c.caller.Gone() {
+	c := g.calls[id]
+	if c == nil {
+		return 0, false
+	}
+	if some, gone := c.caller.Unheard(); gone || some && again { // what waits may call the request off
 		return 0, false
 	}
 	return g.Core.MaySend(g.Loop.Now(), id, n, again)
 }
 
+// Listen takes in what a request's client has sent by now: it may have called the request off.
+func (g *Gateway) Listen(id core.ID) {
+	if c := g.calls[id]; c != nil {
+		c.caller.Listen()
+	}
+}
+
 // Began says that a part of an attempt's answer is there, and tells whether it is to go out.
 func (g *Gateway) Began(id core.ID, n int) bool {
 	wanted, actions := g.Core.Began(g.Loop.Now(), id, n)
@@ -126,8 +140,10 @@
 		c.timer.Stop()
 		c.attempt = nil
 	}
-	if outcome != policy.OK && c != nil && !c.replied && c.caller.Gone() {
-		g.Leave(id) // else the module would try again for nobody
+	if outcome != policy.OK && c != nil && !c.replied {
+		if _, gone := c.caller.Unheard(); gone {
+			g.Leave(id) // else the module would try again for nobody
+		}
 	}
 	g.carryOut(g.Core.Ended(g.Loop.Now(), id, n, outcome, report), result)
 	if c != nil {
--- a/internal/netio/mysqlfront.go
+++ b/internal/netio/mysqlfront.go
@@ -248,8 +248,11 @@
 	}
 }
 
-// Gone tells whether the client has closed its connection, also if that is not read yet.
-func (c *mysqlClient) Gone() bool { return c.conn.PeerGone() }
+// Listen takes in what the client has sent by now.
+func (c *mysqlClient) Listen() { c.conn.Quiet() }
+
+// Unheard tells what of the client is not taken in yet.
+func (c *mysqlClient) Unheard() (some, gone bool) { return c.conn.peek() }
 
 // Answer ends the query. An answer that broke off in the middle of a row can only be told by the connection's end.
 func (c *mysqlClient) Answer(r core.Reply, result any) {
