Take a client's end in where it is found, and answer all before the last shutdown of a stop

Found on reading the change once more. A client whose end stood unread could not make room for another (retire found it not quiet), so that a newcomer could be turned away beside a connection that was over; Conn.Quiet now takes the end in too. Where deadlines are shorter than 0.3 s the last shutdown of a stop could come before its last word; part says it first. A start that waits for its address logs that once. TestRoomOfAClientThatHasGone.

--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -177,7 +177,7 @@
 		if next == nil {
 			return false
 		}
-		if next.retire("others came") {
+		if next.retire("others came") || !f.open[next] { // or it had gone by itself
 			return true
 		}
 	}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -187,12 +187,15 @@
 	return len(c.arrived) > 0, c.eof
 }
 
-// Quiet hands the owner what has come by now, and tells whether nothing had. A connection that is quiet may be
-// half-closed at once: what comes after that crossed it on the way.
+// Quiet hands the owner what has come by now, the connection's end included, and tells whether nothing had. One that is quiet
+// may be half-closed at once: what comes after that crossed it on the way.
 func (c *Conn) Quiet() bool {
 	some, eof := c.peek()
+	if eof {
+		c.lost(io.EOF)
+	}
 	c.deliver()
-	return !some && !eof && c.isOpen()
+	return !some && c.isOpen()
 }
 
 // deliver hands over what has arrived; on the loop.
--- a/internal/netio/crossings_test.go
+++ b/internal/netio/crossings_test.go
@@ -705,3 +705,19 @@
 		}
 	}
 }
+
+// A client that has gone makes room for another, though nobody has read its end.
+func TestRoomOfAClientThatHasGone(t *testing.T) {
+	r := newRig(t, 4)
+	nc, _ := r.deafClient()
+	sends(t, nc, ask(11, safe)) // holds it open: there is no engine
+	r.loop.Do(func() {
+		ends(t, nc)
+		for c := range r.open {
+			c.conn.Quiet()
+		}
+		if len(r.open) != 0 || r.gateway.Core.Open() != 0 {
+			t.Errorf("%d connections, %d requests", len(r.open), r.gateway.Core.Open())
+		}
+	})
+}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -176,12 +176,15 @@
 // listen opens the platform's front. While the former process still holds the address it waits; it tells whether the stop
 // came first.
 func (p *program) listen(term context.Context, addr string) (stopped bool, err error) {
-	for end := time.Now().Add(listenFor); ; {
+	began := time.Now()
+	for tries := 0; ; tries++ {
 		err := p.clients.Serve(addr)
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > listenFor {
 			return false, err
 		}
-		p.log.Warn("waits for the address", "listen", addr)
+		if tries == 0 {
+			p.log.Warn("waits for the address", "listen", addr)
+		}
 		select {
 		case <-term.Done():
 			return true, nil
@@ -330,7 +333,7 @@
 		}
 		p.clients.Stop(p.settle)
 	})
-	p.loop.After(max(p.longest+answerIn, min(acceptFor, p.longest+exitIn)), p.gateway.Close)
+	p.loop.After(p.longest+answerIn, p.gateway.Close)
 	p.loop.After(p.longest+exitIn, p.part)
 	p.loop.After(p.longest+exitIn+partIn, p.cancel)
 }
@@ -362,6 +365,7 @@
 		return
 	}
 	p.parting = true
+	p.gateway.Close() // where deadlines are short this may be the first time
 	p.clients.Finish()
 	if p.version != nil {
 		p.version.reporter.Stop()
