Have stand-in clients look whether their connection ended while they were about to ask

A stand-in client that fetched a connection just before its end was handled left its request open on it, which nobody looked through again: it counted as unanswered. A request that meets this is asked once more, as one that crosses a close is; a second time it is lost.

--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -176,6 +176,15 @@
 		c.end(a, Unreached)
 		return
 	}
+	if c.conns[i] != k { // it ended between the two locks: what it left open has been looked through, and nobody would again
+		if a.again {
+			c.end(a, Lost)
+			return
+		}
+		a.again = true
+		go c.transmit(i, a)
+		return
+	}
 	k.next++
 	r := a.request
 	params := map[string]any{"rid": r.ID, "budget": r.Budget.Milliseconds(), "est": math.Round(r.Estimate*1e4) / 10, "ram": r.Query.NeedMB,
