Wait for a front's last connection in one place, and drop a setting that nothing set

Both fronts had the same wait for no connection being open or shut (WhenEmpty, checkEmpty); leaving, which holds the connections that are being shut, now has it for both. Clients.idleFor was set to one constant and by nobody else. Behaviour stays as it is.

--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -34,9 +34,7 @@
 	serving bool
 	ln      net.Listener
 	patient time.Duration // how long a client may take to ask for something, or to end a line
-	idleFor time.Duration // and how long it may rest
 	stopped func()        // runs once no more connections are taken
-	emptied func()        // runs once no connection is open or being shut
 }
 
 // client is one connection.
@@ -57,8 +55,8 @@
 // NewClients makes the front for at most so many connections, whose unfinished lines may hold so many bytes.
 func NewClients(g *Gateway, log *slog.Logger, most, lines int) *Clients {
 	f := &Clients{gateway: g, log: log, most: most, lines: lines, open: map[*client]bool{}, serving: true,
-		patient: askWait, idleFor: clientIdle}
-	f.leaving = newLeaving(most, f.checkEmpty)
+		patient: askWait}
+	f.leaving = newLeaving(most, func() int { return len(f.open) })
 	return f
 }
 
@@ -130,17 +128,7 @@
 }
 
 // WhenEmpty sets what runs once no connection is open or being shut.
-func (f *Clients) WhenEmpty(run func()) {
-	f.emptied = run
-	f.checkEmpty()
-}
-
-func (f *Clients) checkEmpty() {
-	if run := f.emptied; run != nil && len(f.open) == 0 && len(f.leaving.conns) == 0 {
-		f.emptied = nil
-		run()
-	}
-}
+func (f *Clients) WhenEmpty(run func()) { f.leaving.whenEmpty(run) }
 
 // Finish shuts the connections once what they were to get is written.
 func (f *Clients) Finish() {
@@ -213,7 +201,7 @@
 			c.end("no more lines can be read")
 			return
 		}
-		c.idle = c.front.gateway.Loop.After(c.front.idleFor, func() { c.retire("idle") })
+		c.idle = c.front.gateway.Loop.After(clientIdle, func() { c.retire("idle") })
 	}
 }
 
@@ -267,7 +255,7 @@
 	c.front.unread -= c.unread
 	c.unread = 0
 	delete(c.front.open, c)
-	c.front.checkEmpty()
+	c.front.leaving.check()
 }
 
 // end shuts a connection once what has been answered is written: the last answer may still be on its way.
--- a/internal/netio/mysqlfront.go
+++ b/internal/netio/mysqlfront.go
@@ -37,7 +37,6 @@
 	ln      net.Listener
 	open    map[*mysqlClient]bool
 	leaving *leaving // beside those that are open
-	emptied func()   // runs once there are none of either
 	threads uint32
 	again   *Timer
 	patient time.Duration // how long a client may take to log in
@@ -46,7 +45,7 @@
 // NewMySQLFront makes the front; pool is for its connections to engines alone.
 func NewMySQLFront(g *Gateway, pool *Pool, log *slog.Logger, setup MySQLSetup) *MySQLFront {
 	f := &MySQLFront{gateway: g, pool: pool, log: log, setup: setup, open: map[*mysqlClient]bool{}, patient: loginWait}
-	f.leaving = newLeaving(setup.MostOpen, f.checkEmpty)
+	f.leaving = newLeaving(setup.MostOpen, func() int { return len(f.open) })
 	return f
 }
 
@@ -99,17 +98,7 @@
 }
 
 // WhenEmpty sets what runs once no connection is open or being shut.
-func (f *MySQLFront) WhenEmpty(run func()) {
-	f.emptied = run
-	f.checkEmpty()
-}
-
-func (f *MySQLFront) checkEmpty() {
-	if run := f.emptied; run != nil && len(f.open) == 0 && len(f.leaving.conns) == 0 {
-		f.emptied = nil
-		run()
-	}
-}
+func (f *MySQLFront) WhenEmpty(run func()) { f.leaving.whenEmpty(run) }
 
 // Finish shuts the connections once what they were to get is written.
 func (f *MySQLFront) Finish() {
@@ -182,7 +171,7 @@
 	c.login.Stop()
 	delete(c.front.open, c)
 	c.leave()
-	c.front.checkEmpty()
+	c.front.leaving.check()
 }
 
 func (c *mysqlClient) leave() {
