Add a seeded soak of planned stops; it shows that a crowd loses requests

Symptom: with 350 clients that go on using their connections, a planned stop loses requests that it has taken: their connections end 3.2 s after SIGTERM without an answer.

Every answer is compared with what an engine makes. A failing run prints its command and keeps its logs.

--- a/cmd/fleettest/main.go
+++ b/cmd/fleettest/main.go
@@ -16,6 +16,7 @@
 	Simulate simulateCommand     `cmd:"" help:"Measure membership on a virtual clock, beside a heartbeat detector."`
 	Spread   distributionCommand `cmd:"" help:"Compare how evenly versions of the program load stand-in engines."`
 	Rollout  rolloutCommand      `cmd:"" help:"Play good and bad changes in stages on fleets of processes."`
+	Soak     soakCommand         `cmd:"" help:"Stop gateways under load, with a scenario for each seed, and check that no request is lost."`
 	Scale    scaleCommand        `cmd:"" help:"Read what control costs gateways in a fleet of hundreds, most of them hollow."`
 	Slopes   slopesCommand       `cmd:"" help:"Measure how the cost of each part grows with the fleet, for docs/operators/CAPACITY.md."`
 	Capacity capacityCommand     `cmd:"" help:"Work the tables of docs/operators/CAPACITY.md out from the measured slopes."`
--- a/internal/testbed/emulator/engine.go
+++ b/internal/testbed/emulator/engine.go
@@ -126,6 +126,12 @@
 // SetHung makes the engine accept every call and answer none, as one that hangs; or makes it answer again.
 func (e *Engine) SetHung(on bool) { e.locked(func() { e.silent = on }) }
 
+// Knows reports whether the engine runs a query, or has kept its result.
+func (e *Engine) Knows(id string) (known bool) {
+	e.locked(func() { known = e.queries[id] != nil })
+	return known
+}
+
 // SetStolenShare sets the share of the machine, from 0 to 1, that other programs take.
 func (e *Engine) SetStolenShare(share float64) {
 	e.locked(func() {
--- a/internal/testbed/emulator/model.go
+++ b/internal/testbed/emulator/model.go
@@ -125,13 +125,14 @@
 	return m.spec.WarmUpShare + (1-m.spec.WarmUpShare)*float64(since)/float64(m.spec.WarmUpTime)
 }
 
-// Start starts a query, or returns false if the engine is full or has collapsed. The caller has advanced the model to now.
+// Start starts a query, or returns false if the engine is full, has collapsed or has too little memory for the query at any time. The
+// caller has advanced the model to now.
 func (m *Model) Start(q Query) bool {
 	if m.collapsed {
 		return false
 	}
 	m.recordWarmUpWork(q.Work) // rejected queries cost the engine something too
-	if len(m.running) >= m.spec.MaxQueries {
+	if len(m.running) >= m.spec.MaxQueries || q.NeedMB > m.spec.MemoryMB {
 		return false
 	}
 	r := &runningQuery{Query: q, left: q.Work}
--- /dev/null
+++ b/internal/testbed/soak/run.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"frostpier/internal/testbed/emulator"
+	"frostpier/internal/testbed/testfleet"
+)
+
+// Options are what a run needs beside its scenario.
+type Options struct {
+	Dir     string   // of configurations and logs, which exists
+	Command []string // command of a gateway
+	Env     []string // of the gateways, beside that of this process
+}
+
+// Exit is how a gateway ended.
+type Exit struct {
+	After  time.Duration // SIGTERM
+	Killed bool          // by the platform's SIGKILL
+	Err    error         // of an exit by itself: nil for code 0
+}
+
+// Result is the result of a run.
+type Result struct {
+	Scenario Scenario
+	Requests []Request
+	Exits    []Exit   // by gateway
+	Alarms   []string // log lines of failures of the program
+}
+
+const (
+	maxDescriptors = 1024
+	exitTimeout    = 10 * time.Second // after SIGKILL
+)
+
+// run is a run in progress.
+type run struct {
+	scenario Scenario
+	fleet    *testfleet.Fleet
+	engines  *engines
+	gateways []*gateway
+	recorder recorder
+	clock    func() time.Duration
+}
+
+// Run plays a scenario. It returns an error if it could not be played.
+func Run(s Scenario, options Options) (result Result, err error) {
+	start := time.Now()
+	r := &run{scenario: s, clock: func() time.Duration { return time.Since(start) }}
+	if r.engines, err = newEngines(r.clock); err != nil {
+		return result, err
+	}
+	defer r.engines.pool.Close()
+	if err := r.startFleet(options); err != nil {
+		return result, err
+	}
+	result = r.play()
+	result.Alarms = r.fleet.Alarms()
+	return result, r.fleet.Close()
+}
+
+// startFleet starts the gateways.
+func (r *run) startFleet(options Options) (err error) {
+	classes := r.scenario.classes()
+	r.fleet, err = testfleet.New(testfleet.Options{
+		Gateways:       len(r.scenario.Stops),
+		Seed:           r.scenario.Seed,
+		Dir:            options.Dir,
+		Command:        options.Command,
+		Env:            options.Env,
+		Engines:        r.engines.pool.EngineList(),
+		MaxDescriptors: maxDescriptors,
+		Settings:       func(n, self int) string { return emulator.Settings(classes, n, self, engineCores) },
+	})
+	if err != nil {
+		return err
+	}
+	for i, stop := range r.scenario.Stops {
+		r.gateways = append(r.gateways, &gateway{number: i, fleet: r.fleet, stop: stop, clock: r.clock})
+	}
+	if err := r.fleet.StartAll(); err != nil {
+		return errors.Join(err, r.fleet.Close())
+	}
+	return nil
+}
+
+// play lets the clients run, stops the gateways, and returns once all have ended.
+func (r *run) play() Result {
+	var clients, stops sync.WaitGroup
+	random := rand.New(rand.NewPCG(r.scenario.Seed, 2))
+	addrs := r.fleet.Clients()
+	for i := range r.scenario.Clients {
+		g := r.gateways[i%len(r.gateways)]
+		c := newPlatformClient(i, g, addrs[g.number], r.scenario.classes(), random.Uint64(), &r.recorder, r.engines)
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			c.run()
+		}()
+	}
+	disturbance := time.AfterFunc(r.scenario.DisturbanceAfter, func() { r.engines.disturb(r.scenario.Disturbance, r.fleet.Discovery) })
+	defer disturbance.Stop()
+	exits := make([]Exit, len(r.gateways))
+	for i, g := range r.gateways {
+		stops.Add(1)
+		go func() {
+			defer stops.Done()
+			exits[i] = g.terminate(r.scenario.KillDelay())
+		}()
+	}
+	stops.Wait()
+	clients.Wait()
+	return Result{Scenario: r.scenario, Requests: r.requests(), Exits: exits}
+}
+
+// requests returns all requests in the order in which they were sent.
+func (r *run) requests() (out []Request) {
+	r.recorder.mu.Lock()
+	defer r.recorder.mu.Unlock()
+	for _, request := range r.recorder.requests {
+		at, _ := r.gateways[request.Gateway].terminated()
+		request.SentAfter = request.Sent - at
+		out = append(out, *request)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Sent < out[j].Sent })
+	return out
+}
--- a/internal/testbed/testfleet/fleet.go
+++ b/internal/testbed/testfleet/fleet.go
@@ -165,6 +165,17 @@
 	return f.gateways[i].waitExit(stopTimeout)
 }
 
+// Signal sends a gateway a signal and does not wait for its end.
+func (f *Fleet) Signal(i int, s syscall.Signal) error { return f.gateways[i].signal(s) }
+
+// WaitExit waits for a gateway's end, and returns an error if it takes longer than the timeout or was no exit with code 0.
+func (f *Fleet) WaitExit(i int, timeout time.Duration) error {
+	if err := f.gateways[i].waitExit(timeout); err != nil {
+		return err
+	}
+	return f.gateways[i].exitError()
+}
+
 // Pause stops a gateway with SIGSTOP; see Resume.
 func (f *Fleet) Pause(i int) error { return f.gateways[i].signal(syscall.SIGSTOP) }
 
--- a/internal/testbed/testfleet/gateway.go
+++ b/internal/testbed/testfleet/gateway.go
@@ -34,6 +34,7 @@
 	up      bool
 	paused  bool
 	ended   chan struct{} // closed when the process has ended
+	exitErr error         // of the process that has ended: nil for exit code 0
 	alarms  []string      // log lines of failures: see isAlarm
 }
 
@@ -89,10 +90,11 @@
 		_, _ = fmt.Fprintln(log, lines.Text())
 		g.handleLine(lines.Text(), changed)
 	}
-	_ = cmd.Wait() // a fleet ends its processes by signals, so that every exit status is expected
+	exitErr := cmd.Wait()
 	_ = log.Close()
 	g.mu.Lock()
 	g.up, g.ready = false, false
+	g.exitErr = exitErr
 	g.mu.Unlock()
 	close(ended)
 }
@@ -184,6 +186,13 @@
 	}
 }
 
+// exitError returns the error of the process that has ended, or nil if it exited with code 0.
+func (g *gateway) exitError() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.exitErr
+}
+
 // state reports whether the process runs, serves, and is paused.
 func (g *gateway) state() (up, ready, paused bool) {
 	g.mu.Lock()
