Write the last responses before the bound on closing connections applies

Callers saw: with a crowd of clients, a planned stop ended connections 3.2 s after SIGTERM without the answer that was queued for them.

Cause: all connections are closed in one turn of the event loop, and the bound on connections that are being closed (51 for 409) closed the oldest at once although its response was not written.

The bound now closes only half-closed connections, to which everything has been written, and is applied again when another one gets there. So no queued response depends on how many connections end together; idle clients that make room for others and the MySQL front use the same code.

--- a/internal/transport/eventloop/conn.go
+++ b/internal/transport/eventloop/conn.go
@@ -46,6 +46,7 @@
 	handler       Handler
 	writeLimit    int    // bytes that may be queued
 	onReleased    func() // nil, or called on the loop after the descriptor was closed
+	onLingering   func() // nil, or called on the loop after the half-close
 	lingerTimeout time.Duration
 	lingerTimer   *Timer
 
@@ -105,6 +106,9 @@
 // OnReleased sets a function that is called on the loop after the descriptor was closed.
 func (c *Conn) OnReleased(f func()) { c.onReleased = f }
 
+// OnLingering sets a function that is called on the loop once the connection is half-closed and waits for the peer to end its side.
+func (c *Conn) OnLingering(f func()) { c.onLingering = f }
+
 // SetWriteLimit sets how many bytes may be queued before the connection is closed because its peer is too slow.
 func (c *Conn) SetWriteLimit(bytes int) { c.writeLimit = bytes }
 
@@ -160,6 +164,9 @@
 	}
 	c.advance(connLingering)
 	c.lingerTimer = c.loop.After(c.lingerTimeout, c.Close)
+	if c.onLingering != nil {
+		c.onLingering()
+	}
 }
 
 // Close closes the connection at once. The handler is not called any more.
--- a/internal/transport/frontend/crossings_clients_test.go
+++ b/internal/transport/frontend/crossings_clients_test.go
@@ -93,6 +93,37 @@
 	}
 }
 
+// Responses that are queued are written however many connections are closed at a time. The bound on connections that are being closed
+// once closed the oldest at once, over its unwritten response: see TestFleetPlannedStopsLoseNothing in cmd/frostpier.
+func TestUnsentResponsesBeforeManyCloses(t *testing.T) {
+	f := newFixture(t, 4)
+	f.loop.Do(func() { f.lingering.limit = 1 })
+	const clients = 4
+	long := strings.Repeat("y", 8<<20) // more than the buffers of both sockets
+	var conns []net.Conn
+	for range clients {
+		nc, _ := f.connect()
+		conns = append(conns, nc)
+	}
+	f.loop.Do(func() {
+		f.loop.SetWriteBudget(2 * clients * int64(len(long)))
+		for c := range f.open {
+			c.conn.SetWriteLimit(2 * len(long))
+			c.conn.Write([]byte(long))
+		}
+		f.Shutdown()
+	})
+	for _, nc := range conns {
+		if got, err := io.ReadAll(nc); err != nil || len(got) != len(long) {
+			t.Errorf("%d bytes, %v, want %d and the end", len(got), err, len(long))
+		}
+	}
+	nettest.Eventually(t, "the bound", func() (within bool) {
+		f.loop.Do(func() { within = len(f.lingering.conns) <= f.lingering.limit })
+		return within
+	})
+}
+
 // A client that does not close its side holds a descriptor for the linger timeout at most.
 func TestLingerTimeout(t *testing.T) {
 	f := newFixture(t, 4)
--- a/internal/transport/frontend/linger.go
+++ b/internal/transport/frontend/linger.go
@@ -36,8 +36,7 @@
 	}
 }
 
-// closeGracefully closes a connection gracefully. If too many are being closed, one of them is closed at once: the oldest to which
-// everything has been written, or the oldest of all.
+// closeGracefully closes a connection gracefully, and sees to it that not too many are being closed.
 func (s *lingerSet) closeGracefully(c *eventloop.Conn) {
 	if !c.IsOpen() {
 		return
@@ -47,9 +46,24 @@
 		s.checkEmpty()
 	})
 	s.conns = append(s.conns, c)
+	c.OnLingering(s.enforceLimit)
 	c.CloseGracefully()
-	if len(s.conns) > s.limit {
-		i := max(0, slices.IndexFunc(s.conns, (*eventloop.Conn).IsLingering))
-		s.conns[i].Close()
+	s.enforceLimit()
+}
+
+// enforceLimit closes connections at once, the oldest first, while too many are being closed. It passes over those that still have
+// bytes to write: their clients would lose the responses. They are closed as soon as they have written them.
+func (s *lingerSet) enforceLimit() {
+	excess := -s.limit
+	for _, c := range s.conns {
+		if !c.IsClosed() { // closed ones leave the set a moment later
+			excess++
+		}
+	}
+	for _, c := range s.conns {
+		if excess > 0 && c.IsLingering() {
+			c.Close()
+			excess--
+		}
 	}
 }
