Look for idleness behind a read, so that its further requests are answered

Callers saw: in a planned stop, a client that aborted the last open request and sent the next one in the same write got the connection's end instead of an answer.

Cause: the dispatcher checked for idleness at the end of each executed step, also in the middle of a read. The stop then closed the connection whose bytes were being handled, and the next request of that read was taken on a closed connection.

The check is repeated once the loop is done with its present step, and nothing is closed if a request is open by then. The test forces the order and failed each time before.

--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -194,14 +194,25 @@
 	d.checkIdle()
 }
 
+// checkIdle has the function of WhenIdle called if the dispatcher is idle. That is done behind what the loop is doing now: a client may
+// be in the middle of a read, with further requests in it.
 func (d *Dispatcher) checkIdle() {
-	if d.onIdle != nil && d.Core.PendingRequests() == 0 && d.Core.AttemptsInFlight() == 0 {
-		f := d.onIdle
+	if d.onIdle != nil && d.isIdle() {
+		d.Loop.After(0, d.callIfIdle)
+	}
+}
+
+// callIfIdle calls the function of WhenIdle if the dispatcher is still idle.
+func (d *Dispatcher) callIfIdle() {
+	if f := d.onIdle; f != nil && d.isIdle() {
 		d.onIdle = nil
 		f()
 	}
 }
 
+// isIdle reports whether no request is open and no attempt in flight.
+func (d *Dispatcher) isIdle() bool { return d.Core.PendingRequests() == 0 && d.Core.AttemptsInFlight() == 0 }
+
 // execute executes actions of the core; result is what the attempt that caused them returned.
 func (d *Dispatcher) execute(actions []core.Action, result any) {
 	for _, action := range actions {
--- a/internal/transport/frontend/crossings_clients_test.go
+++ b/internal/transport/frontend/crossings_clients_test.go
@@ -124,6 +124,25 @@
 	})
 }
 
+// A request that comes in one read behind the end of the last open one is answered, though that end makes the gateway idle and a stop
+// closes idle connections then. The check for idleness ran in the middle of the read: the connection looked idle, was closed, and the
+// request was taken on a closed connection, where its answer was dropped.
+func TestRequestBehindTheLastOpenOneAtStop(t *testing.T) {
+	f := newFixture(t, 4) // without engines: requests stay queued
+	nc, c := f.connectPaused()
+	nettest.Send(t, nc, queryLine(11, idempotentClass))
+	f.loop.Do(func() {
+		c.conn.DeliverPending()
+		f.dispatcher.WhenIdle(func() { f.CloseIdle() })
+		nettest.Send(t, nc, `{"jsonrpc":"2.0","method":"abort","params":{"id":11}}`+"\n"+queryLine(12, idempotentClass))
+		c.conn.DeliverPending()
+		f.dispatcher.Close()
+	})
+	in := bufio.NewReader(nc)
+	expectLine(t, in, `"id":12,"error"`)
+	expectCleanEnd(t, in) // once it is answered, the gateway is idle
+}
+
 // A client that does not close its side holds a descriptor for the linger timeout at most.
 func TestLingerTimeout(t *testing.T) {
 	f := newFixture(t, 4)
