Answer what is unread when a stop closes its last connections

Callers saw: a request that reached the machine just before a planned stop closed its last connections got the connection's end, no answer.

Cause: Shutdown of both fronts closed connections without handling what had come on them. Every request is answered at once by that time, so they are handled first now, and the answer is written before the half-close.

--- a/internal/transport/frontend/crossings_clients_test.go
+++ b/internal/transport/frontend/crossings_clients_test.go
@@ -143,6 +143,20 @@
 	expectCleanEnd(t, in) // once it is answered, the gateway is idle
 }
 
+// A request that is unread when the last connections of a stop are closed is answered: by then every request is, at once.
+func TestUnreadRequestBeforeShutdown(t *testing.T) {
+	f := newFixture(t, 4)
+	nc, _ := f.connectPaused()
+	f.loop.Do(func() {
+		f.dispatcher.Close()
+		nettest.Send(t, nc, queryLine(12, idempotentClass))
+		f.Shutdown()
+	})
+	in := bufio.NewReader(nc)
+	expectLine(t, in, `"id":12,"error"`)
+	expectCleanEnd(t, in)
+}
+
 // A client that does not close its side holds a descriptor for the linger timeout at most.
 func TestLingerTimeout(t *testing.T) {
 	f := newFixture(t, 4)
--- a/internal/transport/frontend/crossings_listeners_test.go
+++ b/internal/transport/frontend/crossings_listeners_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,6 +105,35 @@
 	}
 }
 
+// Bytes of a MySQL client that are unread when the last connections of a stop are closed are handled first.
+func TestUnreadMySQLBytesBeforeShutdown(t *testing.T) {
+	loop, p := newPool(t, 1)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	l := NewMySQLListener(dispatcher.New(loop, nil, p, log), p, log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 8})
+	loop.Do(func() {
+		if err := l.Listen(); err != nil {
+			t.Error(err)
+		}
+	})
+	nc, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(nettest.Timeout))
+	if _, err := nc.Read(make([]byte, 1)); err != nil { // the greeting
+		t.Fatal(err)
+	}
+	loop.Do(func() {
+		nettest.Send(t, nc, "\xff\xff\xff\x01") // the header of a login that is too large: it is answered with an error
+		l.StopAccepting()
+		l.Shutdown()
+	})
+	if got, err := io.ReadAll(nc); err != nil || !strings.Contains(string(got), "larger than the gateway takes") {
+		t.Fatalf("%q, %v, want the error and the end", got, err)
+	}
+}
+
 // Connections that the kernel has accepted before the MySQL listener closes, for a stop or another master, are served here.
 func TestAcceptedMySQLConnectionsAreServedAfterStop(t *testing.T) {
 	loop, p := newPool(t, 1)
--- a/internal/transport/frontend/listener.go
+++ b/internal/transport/frontend/listener.go
@@ -75,7 +75,8 @@
 	return len(s.open) == 0
 }
 
-// Shutdown gracefully closes all connections: what is queued for their clients is still written.
+// Shutdown gracefully closes all connections: what they have received is handled first, and what is queued for their clients is
+// still written. It is called once the dispatcher replies to all requests at once.
 func (s *connSet[C]) Shutdown() {
 	for c := range s.open {
 		c.shutdown()
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -54,8 +54,13 @@
 	}
 }
 
-// shutdown is part of closable.
-func (c *mysqlClient) shutdown() { c.close() }
+// shutdown is part of closable. Commands that are unread are owed a response, which they get at once by now.
+func (c *mysqlClient) shutdown() {
+	c.conn.DeliverPending()
+	if c.conn.IsOpen() {
+		c.close()
+	}
+}
 
 func (c *mysqlClient) loginTimedOut() {
 	if !c.machine.LoggedIn() {
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -142,5 +142,10 @@
 	}
 }
 
-// shutdown is part of closable.
-func (c *client) shutdown() { c.close("stopped") }
+// shutdown is part of closable. Requests that are unread are owed a response, which they get at once by now.
+func (c *client) shutdown() {
+	c.conn.DeliverPending()
+	if c.conn.IsOpen() {
+		c.close("stopped")
+	}
+}
