End connections with their last response in a stop, not in a pause

Callers saw: clients that go on using their connections in a planned stop found them ended 3.2 s after SIGTERM in the middle of a pause, and requests on their way had to be sent again elsewhere.

Cause: the stop closed idle connections only when the whole gateway was idle, which it never is while clients talk; all ended together after the last responses were given by force.

From 0.75 s after SIGTERM each connection is half-closed behind the response to its last open request, which the client reads together, or after 250 ms of rest. MySQL connections likewise; a command that came during the last query is run first. The latest end stays 3.6 s.

--- a/cmd/frostpier/crossings_test.go
+++ b/cmd/frostpier/crossings_test.go
@@ -4,11 +4,14 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"frostpier/internal/testbed/soak"
 )
 
 // docs/design/crossings.md has a row for each of these.
@@ -63,6 +66,36 @@
 	}
 }
 
+// A client that goes on using its connection in a shutdown finds the end of it together with a response, while the gateway still waits
+// for a long query of another client. Connections that were never idle together once stayed until 3.2 s after SIGTERM and were closed
+// all at once, in the middle of their clients' pauses, so that requests crossed the end.
+func TestStopEndsConnectionsWithTheirResponses(t *testing.T) {
+	t.Parallel()
+	e := newHTTPEngine(t)
+	n := startNode(t, "", engineInService("e1", e.addr()))
+	waiting := dialRPC(t, n)
+	waiting.submit(2, "report", "sleep", 15000, "")
+	waitFor(t, "the long query", func() bool { return e.received("sleep") == 1 })
+	c := dialRPC(t, n)
+	n.terminate()
+	for id := 100; ; id++ { // the name of a query is its number
+		c.submit(id, "lookup", "x", 3000, "")
+		c.wantServed(id, "a\tb\tc\n")
+		time.Sleep(5 * time.Millisecond) // by which the end that came with the response has arrived
+		if soak.EndOfInput(c.conn.(syscall.Conn)) {
+			break
+		}
+	}
+	waiting.conn.SetReadDeadline(time.Now().Add(time.Second)) // its own response is due 2.4 s later
+	if b, err := waiting.reader.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("%q, %v, want no response to the long query yet", b, err)
+	}
+	waiting.conn.SetReadDeadline(time.Now().Add(waitTimeout))
+	waiting.wantError(2, -32008)
+	waiting.wantEOF()
+	n.waitExit()
+}
+
 // A request of which half has arrived when the shutdown begins is accepted and replied to.
 func TestStopWaitsForHalfALine(t *testing.T) {
 	t.Parallel()
--- a/internal/program/stop.go
+++ b/internal/program/stop.go
@@ -20,7 +20,9 @@
 	peerCloseTimeout = 500 * time.Millisecond // for peers to close their side where the shutdown is early
 	hangGrace        = 50 * time.Millisecond  // after peerCloseGrace: the program exits even if the event loop hangs
 
-	idleChecks    = 15       // how often idle connections are checked for in acceptDuration
+	idleCheckInterval = 50 * time.Millisecond  // between two looks for idle connections
+	idleBeforeClose   = 250 * time.Millisecond // of a connection without a response on the way: its next request may be
+
 	maxStackBytes = 64 << 10 // of the stacks that are logged if the event loop hangs
 )
 
@@ -68,30 +70,30 @@
 	p.loop.After(p.maxDeadline+closeGrace+peerCloseGrace, p.exit)
 }
 
-// stopAccepting closes the listeners, and then the connections as they become idle.
+// stopAccepting closes the listeners, and then each connection with its last response or when it has been idle.
 func (p *program) stopAccepting() {
 	if p.mysql != nil {
 		p.mysql.StopAccepting()
+		p.mysql.CloseAfterResponses()
 	}
+	p.clients.CloseAfterResponses()
 	p.clients.Stop(p.closeIdleConnections)
 }
 
-// closeIdleConnections closes the idle connections once no request is pending and no attempt is in flight. A request
-// that has just come on one of them is replied to first, and the rest are checked again.
+// closeIdleConnections closes the connections that have been idle, again and again until none is open. The shutdown ends
+// once no attempt is in flight then.
 func (p *program) closeIdleConnections() {
-	p.dispatcher.WhenIdle(func() {
-		if p.closeIdle() {
-			p.closeConnections()
-			return
-		}
-		p.loop.After(acceptDuration/idleChecks, p.closeIdleConnections)
-	})
+	if p.closeIdle() {
+		p.dispatcher.WhenIdle(p.closeConnections)
+		return
+	}
+	p.loop.After(idleCheckInterval, p.closeIdleConnections)
 }
 
-// closeIdle closes the idle connections of clients, and reports whether those were all.
+// closeIdle closes the connections of clients that have been idle, and reports whether none is left open.
 func (p *program) closeIdle() bool {
-	all := p.clients.CloseIdle()
-	return (p.mysql == nil || p.mysql.CloseIdle()) && all
+	all := p.clients.CloseIdle(idleBeforeClose)
+	return (p.mysql == nil || p.mysql.CloseIdle(idleBeforeClose)) && all
 }
 
 // closeConnections closes the remaining connections, and exits once their peers have closed their side too.
--- a/internal/protocol/mysql/front.go
+++ b/internal/protocol/mysql/front.go
@@ -72,6 +72,9 @@
 // LoggedIn reports whether the client's login was accepted.
 func (f *Front) LoggedIn() bool { return f.account != nil }
 
+// IsRunning reports whether a query runs, or has ended and QueryEnded was not called: further commands may wait.
+func (f *Front) IsRunning() bool { return f.stage == stageRunning }
+
 func (f *Front) write(b []byte) { f.events = append(f.events, Event{Write: b}) }
 
 func (f *Front) sendError(sequenceID byte, code int, message string) {
--- a/internal/testbed/soak/platformconn.go
+++ b/internal/testbed/soak/platformconn.go
@@ -60,11 +60,11 @@
 		return true
 	default:
 	}
-	return endOfInput(p.conn)
+	return EndOfInput(p.conn)
 }
 
-// endOfInput reports whether nothing is left to be read before the end of a connection.
-func endOfInput(conn syscall.Conn) bool {
+// EndOfInput reports whether nothing is left to be read before the end of a connection.
+func EndOfInput(conn syscall.Conn) bool {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return true
--- a/internal/transport/frontend/crossings_clients_test.go
+++ b/internal/transport/frontend/crossings_clients_test.go
@@ -19,7 +19,7 @@
 func TestUnreadRequestBeforeClose(t *testing.T) {
 	for name, closeIdle := range map[string]func(*fixture, *client) bool{
 		"idle":     func(f *fixture, c *client) bool { return c.closeIfIdle("idle") },
-		"stop":     func(f *fixture, _ *client) bool { return f.CloseIdle() },
+		"stop":     func(f *fixture, _ *client) bool { return f.CloseIdle(0) },
 		"eviction": func(f *fixture, _ *client) bool { return f.evictIdle() },
 		"request timeout": func(_ *fixture, c *client) bool {
 			c.sentRequest = false
@@ -133,7 +133,7 @@
 	nettest.Send(t, nc, queryLine(11, idempotentClass))
 	f.loop.Do(func() {
 		c.conn.DeliverPending()
-		f.dispatcher.WhenIdle(func() { f.CloseIdle() })
+		f.dispatcher.WhenIdle(func() { f.CloseIdle(0) })
 		nettest.Send(t, nc, `{"jsonrpc":"2.0","method":"abort","params":{"id":11}}`+"\n"+queryLine(12, idempotentClass))
 		c.conn.DeliverPending()
 		f.dispatcher.Close()
--- a/internal/transport/frontend/crossings_listeners_test.go
+++ b/internal/transport/frontend/crossings_listeners_test.go
@@ -60,7 +60,7 @@
 		return some
 	})
 	f.loop.Do(func() {
-		if f.CloseIdle() {
+		if f.CloseIdle(0) {
 			t.Error("closed over an incomplete line")
 		}
 	})
@@ -92,10 +92,10 @@
 	}
 	loop.Do(func() {
 		nettest.Send(t, nc, "\x20\x00\x00\x01") // the header of a login
-		if l.CloseIdle() || len(l.open) != 1 {
+		if l.CloseIdle(0) || len(l.open) != 1 {
 			t.Error("closed over unread bytes")
 		}
-		if !l.CloseIdle() {
+		if !l.CloseIdle(0) {
 			t.Error("an idle connection was not closed")
 		}
 		l.StopAccepting()
--- a/internal/transport/frontend/listener.go
+++ b/internal/transport/frontend/listener.go
@@ -43,16 +43,18 @@
 // closable is a client's connection as a connSet closes it.
 type closable interface {
 	comparable
-	// shutdownIfIdle closes the connection gracefully, unless a request is open or bytes of one have been received.
-	shutdownIfIdle()
+	// shutdownIfIdle closes the connection gracefully if it has been idle for at least a time, unless a request is open or bytes of
+	// one have been received.
+	shutdownIfIdle(idle time.Duration)
 	// shutdown closes the connection gracefully.
 	shutdown()
 }
 
 // connSet holds the connections of a listener: the open ones, and those that are being closed. It is used on the loop.
 type connSet[C closable] struct {
-	open      map[C]bool
-	lingering *lingerSet
+	open                 map[C]bool
+	lingering            *lingerSet
+	closesAfterResponses bool // each connection, together with the response to its last open request
 }
 
 func newConnSet[C closable](maxConns int) connSet[C] {
@@ -66,15 +68,19 @@
 	s.lingering.checkEmpty()
 }
 
-// CloseIdle gracefully closes the connections on which no request is open or being received, and reports whether none is left
-// open.
-func (s *connSet[C]) CloseIdle() bool {
+// CloseIdle gracefully closes the connections on which no request is open or being received and which have been idle for at least a
+// time, and reports whether none is left open.
+func (s *connSet[C]) CloseIdle(idle time.Duration) bool {
 	for c := range s.open {
-		c.shutdownIfIdle()
+		c.shutdownIfIdle(idle)
 	}
 	return len(s.open) == 0
 }
 
+// CloseAfterResponses has each connection closed gracefully together with the response to its last open request: its client sees the
+// end before it sends the next one.
+func (s *connSet[C]) CloseAfterResponses() { s.closesAfterResponses = true }
+
 // Shutdown gracefully closes all connections: what they have received is handled first, and what is queued for their clients is
 // still written. It is called once the dispatcher replies to all requests at once.
 func (s *connSet[C]) Shutdown() {
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -105,7 +105,7 @@
 		return
 	}
 	l.lastThreadID++
-	c := &mysqlClient{listener: l}
+	c := &mysqlClient{listener: l, idleSince: l.dispatcher.Loop.Now()}
 	machine, greeting := mysql.NewFront(l.config.Accounts, l.lastThreadID, newScramble())
 	c.machine = machine
 	l.open[c] = true
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"time"
+
 	"frostpier/internal/core"
 	"frostpier/internal/protocol/mysql"
 	"frostpier/internal/transport/dispatcher"
@@ -17,12 +19,16 @@
 	attempt    *dispatcher.AttemptDriver
 	loginTimer *eventloop.Timer
 	paused     bool // the engine's response is not read, as the client reads too slowly
+	idleSince  time.Duration
 }
 
 var _ dispatcher.Client = (*mysqlClient)(nil)
 
 // Data feeds received bytes to the state machine.
-func (c *mysqlClient) Data(b []byte) { c.execute(c.machine.Received(b)) }
+func (c *mysqlClient) Data(b []byte) {
+	c.idleSince = c.listener.dispatcher.Loop.Now()
+	c.execute(c.machine.Received(b))
+}
 
 // Closed cancels the open query of a client that has closed its connection.
 func (c *mysqlClient) Closed(error) {
@@ -48,8 +54,9 @@
 }
 
 // shutdownIfIdle is part of closable.
-func (c *mysqlClient) shutdownIfIdle() {
-	if c.conn.DeliverPending() && c.query == nil {
+func (c *mysqlClient) shutdownIfIdle(idle time.Duration) {
+	rested := c.listener.dispatcher.Loop.Now()-c.idleSince >= idle
+	if rested && c.conn.DeliverPending() && !c.machine.IsRunning() {
 		c.close()
 	}
 }
@@ -142,9 +149,18 @@
 	default:
 		c.conn.Write(mysql.FailedPacket())
 	}
-	c.listener.dispatcher.Loop.After(0, func() {
-		if c.conn.IsOpen() {
-			c.execute(c.machine.QueryEnded())
-		}
-	})
+	c.listener.dispatcher.Loop.After(0, c.queryEnded)
+}
+
+// queryEnded handles the commands that the client has sent during the query whose response is written. Without one the connection is
+// closed, if the listener closes connections together with responses.
+func (c *mysqlClient) queryEnded() {
+	if !c.conn.IsOpen() {
+		return
+	}
+	c.idleSince = c.listener.dispatcher.Loop.Now()
+	c.execute(c.machine.QueryEnded())
+	if c.listener.closesAfterResponses {
+		c.shutdownIfIdle(0)
+	}
 }
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -23,6 +23,7 @@
 	sentRequest bool // has sent something that got a response, or will
 	sentQuery   bool // has sent a query that was accepted
 	framingLost bool // nothing more is read; open queries still get their response
+	responded   bool // has been sent a response since it last sent anything
 
 	idleSince time.Duration
 	idleTimer *eventloop.Timer // until the first request; then while no query is open
@@ -36,6 +37,7 @@
 	if c.framingLost {
 		return
 	}
+	c.responded = false
 	events, err := c.session.Feed(b)
 	for _, e := range events {
 		c.handle(e)
@@ -68,14 +70,20 @@
 		c.sentQuery = true
 		c.submit(e.Call)
 	case e.Ping != "":
-		c.conn.Write(jsonrpc.Pong(e.Ping, c.listener.serving))
+		c.respond(jsonrpc.Pong(e.Ping, c.listener.serving))
 	case e.Abort != "":
 		c.cancel(e.Abort)
 	case e.Reply != nil:
-		c.conn.Write(e.Reply)
+		c.respond(e.Reply)
 	}
 }
 
+// respond queues a response for the client.
+func (c *client) respond(response []byte) {
+	c.responded = true
+	c.conn.Write(response)
+}
+
 func (c *client) submit(call *jsonrpc.Call) {
 	query := core.Query{
 		Name:              call.RID,
@@ -136,8 +144,8 @@
 }
 
 // shutdownIfIdle is part of closable. A line that has begun may still be completed.
-func (c *client) shutdownIfIdle() {
-	if c.incompleteBytes == 0 {
+func (c *client) shutdownIfIdle(idle time.Duration) {
+	if c.incompleteBytes == 0 && c.listener.dispatcher.Loop.Now()-c.idleSince >= idle {
 		c.closeIfIdle("stopped")
 	}
 }
--- a/internal/transport/frontend/platform_request.go
+++ b/internal/transport/frontend/platform_request.go
@@ -48,15 +48,15 @@
 	switch reply.Verdict {
 	case core.Served:
 		body, _ := result.([]byte)
-		c.conn.Write(jsonrpc.Result(r.call.ID, body))
+		c.respond(jsonrpc.Result(r.call.ID, body))
 	case core.Rejected:
-		c.conn.Write(jsonrpc.Rejected(r.call.ID, reply.RetryAfter))
+		c.respond(jsonrpc.Rejected(r.call.ID, reply.RetryAfter))
 	default:
 		message := failedMessage
 		if reply.DeadlineExceeded {
 			message = deadlineMessage
 		}
-		c.conn.Write(jsonrpc.Failed(r.call.ID, message))
+		c.respond(jsonrpc.Failed(r.call.ID, message))
 	}
 	c.restartIdleTimer()
 }
--- a/internal/transport/frontend/platform_timeouts.go
+++ b/internal/transport/frontend/platform_timeouts.go
@@ -16,6 +16,10 @@
 		c.close("no more lines can be read")
 		return
 	}
+	if c.listener.closesAfterResponses && c.responded { // behind the present read, which may hold further requests
+		c.idleTimer = loop.After(0, func() { c.shutdownIfIdle(0) })
+		return
+	}
 	c.idleTimer = loop.After(idleTimeout, func() { c.closeIfIdle("idle") })
 }
 
