Take only those known queries out of a gateway's counts that it reported

Cause: all known queries since the watch began were taken out of the counts, also those answered before the gateway's first report, from which its counts are measured, and those since its last report. Answers to clients were subtracted in their place, the good ones first.

The checks are remembered as of each report, and those between the baseline and the last report are subtracted.

--- a/internal/control/rollout/counts.go
+++ b/internal/control/rollout/counts.go
@@ -110,6 +110,16 @@
 	}
 }
 
+func (c CheckResults) subtract(o CheckResults) CheckResults {
+	return CheckResults{
+		Correct:   c.Correct - o.Correct,
+		Incorrect: c.Incorrect - o.Incorrect,
+		Unserved:  c.Unserved - o.Unserved,
+		InTime:    c.InTime - o.InTime,
+		Fast:      c.Fast - o.Fast,
+	}
+}
+
 // asCounts returns the checks as a class of their own, which has the same queries at old and new gateways.
 func (c CheckResults) asCounts() Counts {
 	served := c.Correct + c.Incorrect
--- a/internal/control/rollout/machine_test.go
+++ b/internal/control/rollout/machine_test.go
@@ -34,6 +34,38 @@
 	}
 }
 
+// Only the checks that a gateway's counts hold are taken out of them: not those before the first report of a watch, and not those since
+// the last report. Clients' queries were taken out in their place, those in time first, and a good change was taken back after the
+// controller had been resumed in an outage of the reports: "slower than a quarter of the aim 0.588, old gateways 0.254".
+func TestOnlyCountedChecksAreSubtracted(t *testing.T) {
+	sim := newSimulation(t, 6, 1, "")
+	for sim.machine.State().Phase != Watching {
+		sim.run(simTick)
+	}
+	sim.resume() // nothing is known of any gateway
+	const gateway, class = 0, 0
+	check := func(n int) {
+		sim.machine.RecordChecks(gateway, class, CheckResults{Correct: n, InTime: n, Fast: n})
+	}
+	report := func(n uint64) {
+		counts := make([]Counts, len(simClasses))
+		counts[class] = Counts{Taken: n, InTime: n, Fast: n}
+		sim.machine.ReceiveReport(sim.now, Report{Gateway: gateway, PID: 1, Classes: counts})
+	}
+	check(100)
+	report(1000) // the baseline
+	check(10)
+	report(1030)
+	check(50) // not reported yet
+	samples := sim.machine.Samples(sim.now)
+	if len(samples) != 1 {
+		t.Fatalf("%d samples", len(samples))
+	}
+	if got, want := samples[0].Classes[class], (Counts{Taken: 20, InTime: 20, Fast: 20}); got != want {
+		t.Errorf("%+v of clients, want %+v", got, want)
+	}
+}
+
 // Good changes complete, but for a false alarm in twenty.
 func TestGoodChangeCompletes(t *testing.T) {
 	t.Parallel()
--- a/internal/control/rollout/observation.go
+++ b/internal/control/rollout/observation.go
@@ -16,6 +16,9 @@
 	checks      []CheckResults // by class, of the watch
 	reloadable  bool           // it can read new settings while it runs
 	recovered   bool           // its step comes from a stored state: the action may not have been carried out
+
+	// Checks that the report's counts hold, and those that the baseline's held already: others must not be subtracted from them.
+	reportedChecks, baselineChecks []CheckResults
 }
 
 // unknownPID stands for a process that has not been looked for yet.
@@ -42,8 +45,10 @@
 	}
 	if observed.baselinePID == 0 && m.state.Phase == Watching { // its first report of the watch
 		observed.baseline, observed.baselinePID = r.Classes, r.PID
+		observed.baselineChecks = slices.Clone(observed.checks)
 	}
 	observed.report, observed.reportedAt = r, now
+	observed.reportedChecks = slices.Clone(observed.checks)
 }
 
 // ObserveProcess records what a search for a gateway's process found: its id, 0 for none, and whether it can read new
@@ -111,11 +116,11 @@
 // sample returns what one gateway did. The controller's checks are a class of their own.
 func (m *Machine) sample(isNew bool, observed *observation) Sample {
 	s := Sample{New: isNew, Classes: observed.watchedCounts(), MemoryMB: observed.report.MemoryMB}
-	for class, results := range observed.checks {
+	for _, results := range observed.checks {
 		s.Checks = s.Checks.add(results)
-		if class < len(s.Classes) {
-			s.Classes[class] = s.Classes[class].withoutChecks(results)
-		}
+	}
+	for class := range min(len(s.Classes), len(observed.reportedChecks)) {
+		s.Classes[class] = s.Classes[class].withoutChecks(observed.countedChecks(class))
 	}
 	if len(m.plan.Checks) > 0 {
 		s.Classes = append(s.Classes, s.Checks.asCounts())
@@ -123,6 +128,15 @@
 	return s
 }
 
+// countedChecks returns the checks of a class that watchedCounts holds.
+func (o *observation) countedChecks(class int) CheckResults {
+	results := o.reportedChecks[class]
+	if class < len(o.baselineChecks) {
+		results = results.subtract(o.baselineChecks[class])
+	}
+	return results
+}
+
 // watchedCounts returns the gateway's counts since the watch began, over all its processes.
 func (o *observation) watchedCounts() []Counts {
 	current := o.report.Classes
--- a/internal/control/rollout/stage.go
+++ b/internal/control/rollout/stage.go
@@ -32,6 +32,7 @@
 		observed.baseline, observed.baselinePID = nil, 0
 		observed.endedCounts = nil
 		observed.checks = make([]CheckResults, len(m.classes))
+		observed.reportedChecks, observed.baselineChecks = nil, nil
 		if observed.reportedAt > 0 {
 			observed.baseline, observed.baselinePID = observed.report.Classes, observed.report.PID
 		}
