--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -211,7 +211,9 @@
 }
 
 // isIdle reports whether no request is open and no attempt in flight.
-func (d *Dispatcher) isIdle() bool { return d.Core.PendingRequests() == 0 && d.Core.AttemptsInFlight() == 0 }
+func (d *Dispatcher) isIdle() bool {
+	return d.Core.PendingRequests() == 0 && d.Core.AttemptsInFlight() == 0
+}
 
 // execute executes actions of the core; result is what the attempt that caused them returned.
 func (d *Dispatcher) execute(actions []core.Action, result any) {
