Do not take rounding for evidence that new gateways do worse

Operators saw: a good change taken back in the first half second of a watch for one late answer of 42, "old gateways 0.000".

Cause: with only 2 answers of old gateways yet, a share of 0.71 is allowed. Far below the allowed share the test's tail, computed as one minus its complement, is rounding (2e-16), and its logarithm exceeded the threshold.

A share that is not above the allowed one is never evidence: the ratio is under 1 there by construction.

--- a/internal/control/rollout/comparison.go
+++ b/internal/control/rollout/comparison.go
@@ -122,9 +122,10 @@
 	if c.new.total == 0 || c.old.total == 0 || c.new.share() <= c.old.share()+margin {
 		return false
 	}
-	old := c.old.smooth()
-	allowed := old + margin + oldDeviations*math.Sqrt(c.dispersion*old*(1-old)/float64(c.old.total))
-	if allowed >= 1 {
+	// Below the allowed share the likelihood falls towards each share of the mixture, so that the ratio is under 1. It is not computed
+	// there: the tail would be mere rounding, whose logarithm passes for evidence.
+	allowed := c.allowedShare(margin)
+	if allowed >= 1 || c.new.share() <= allowed {
 		return false
 	}
 	events := float64(c.new.count) / c.dispersion
@@ -137,6 +138,12 @@
 	return ratio > -math.Log(alpha)
 }
 
+// allowedShare returns the share that new gateways may have: margin above the upper end of what the old share may be.
+func (c comparison) allowedShare(margin float64) float64 {
+	old := c.old.smooth()
+	return old + margin + oldDeviations*math.Sqrt(c.dispersion*old*(1-old)/float64(c.old.total))
+}
+
 // logBeta returns the logarithm of the beta function.
 func logBeta(a, b float64) float64 {
 	x, _ := math.Lgamma(a)
