--- a/cmd/frostpier/soak_test.go
+++ b/cmd/frostpier/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 
 	"frostpier/internal/testbed/emulator"
@@ -44,4 +45,8 @@
 	for _, problem := range result.Problems() {
 		t.Error(problem)
 	}
+	servedMySQL := slices.ContainsFunc(result.Requests, func(r soak.Request) bool { return r.MySQL && r.End == soak.Served })
+	if servedMySQL != (scenario.MySQLClients > 0) {
+		t.Errorf("%d MySQL clients; a query of one was served: %v", scenario.MySQLClients, servedMySQL)
+	}
 }
--- a/internal/testbed/soak/gateway.go
+++ b/internal/testbed/soak/gateway.go
@@ -47,15 +47,16 @@
 	return !done || sent <= at+killGrace
 }
 
-// endOfUnanswered returns how a request ended whose connection ended just now, before or in the middle of its answer.
-func (g *gateway) endOfUnanswered(r *Request, e *engines, partial bool) End {
+// endOfUnanswered returns how a request ended whose connection ended just now, before its answer or, if partial, in the middle of it.
+// received tells whether an engine got it.
+func (g *gateway) endOfUnanswered(r *Request, received, partial bool) End {
 	_, killed := g.killed()
 	switch {
 	case killed && g.owedAtKill(r.Sent):
 		return LostAtKill
 	case killed:
 		return CutByKill
-	case !partial && g.clock()-r.Sent <= crossingWindow && !e.received(r.ID):
+	case !partial && g.clock()-r.Sent <= crossingWindow && !received:
 		return Crossed
 	}
 	return Lost
--- a/internal/testbed/soak/platformconn.go
+++ b/internal/testbed/soak/platformconn.go
@@ -179,6 +179,6 @@
 	defer p.mu.Unlock()
 	p.isOver = true
 	for _, r := range p.open {
-		p.end(r, p.client.gateway.endOfUnanswered(r, p.client.engines, partial))
+		p.end(r, p.client.gateway.endOfUnanswered(r, p.client.engines.received(r.ID), partial))
 	}
 }
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -46,6 +46,8 @@
 	gateways []*gateway
 	recorder recorder
 	clock    func() time.Duration
+
+	mysqlAddr string // of the gateway's MySQL front; empty = it has none
 }
 
 // Run plays a scenario. It returns an error if it could not be played.
@@ -55,7 +57,7 @@
 	if r.engines, err = newEngines(r.clock); err != nil {
 		return result, err
 	}
-	defer r.engines.pool.Close()
+	defer r.engines.close()
 	if err := r.startFleet(options); err != nil {
 		return result, err
 	}
@@ -67,6 +69,13 @@
 // startFleet starts the gateways.
 func (r *run) startFleet(options Options) (err error) {
 	classes := r.scenario.classes()
+	operator := ""
+	if r.scenario.MySQLClients > 0 {
+		if r.mysqlAddr, err = testfleet.FreeAddr(r.scenario.Seed); err != nil {
+			return err
+		}
+		operator = r.engines.mysqlSections(r.mysqlAddr, r.scenario.Deadline)
+	}
 	r.fleet, err = testfleet.New(testfleet.Options{
 		Gateways:       len(r.scenario.Stops),
 		Seed:           r.scenario.Seed,
@@ -75,6 +84,7 @@
 		Env:            options.Env,
 		Engines:        r.engines.pool.EngineList(),
 		MaxDescriptors: maxDescriptors,
+		Operator:       operator,
 		Settings:       func(n, self int) string { return emulator.Settings(classes, n, self, engineCores) },
 	})
 	if err != nil {
@@ -92,15 +102,11 @@
 // play lets the clients run, stops the gateways, and returns once all have ended.
 func (r *run) play() Result {
 	var clients, stops sync.WaitGroup
-	random := rand.New(rand.NewPCG(r.scenario.Seed, 2))
-	addrs := r.fleet.Clients()
-	for i := range r.scenario.Clients {
-		g := r.gateways[i%len(r.gateways)]
-		c := newPlatformClient(i, g, addrs[g.number], r.scenario.classes(), random.Uint64(), &r.recorder, r.engines)
+	for _, use := range r.clients() {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			c.run()
+			use()
 		}()
 	}
 	disturbance := time.AfterFunc(r.scenario.DisturbanceAfter, func() { r.engines.disturb(r.scenario.Disturbance, r.fleet.Discovery) })
@@ -118,6 +124,23 @@
 	return Result{Scenario: r.scenario, Requests: r.requests(), Exits: exits}
 }
 
+// clients returns what each client does.
+func (r *run) clients() (out []func()) {
+	random := rand.New(rand.NewPCG(r.scenario.Seed, 2))
+	addrs := r.fleet.Clients()
+	for i := range r.scenario.Clients {
+		g := r.gateways[i%len(r.gateways)]
+		c := newPlatformClient(i, g, addrs[g.number], r.scenario.classes(), random.Uint64(), &r.recorder, r.engines)
+		out = append(out, c.run)
+	}
+	for i := range r.scenario.MySQLClients {
+		c := &mysqlClient{number: r.scenario.Clients + i, gateway: r.gateways[0], addr: r.mysqlAddr, budget: r.scenario.Deadline,
+			random: rand.New(rand.NewPCG(random.Uint64(), uint64(i))), recorder: &r.recorder, engine: r.engines.mysql}
+		out = append(out, c.run)
+	}
+	return out
+}
+
 // requests returns all requests in the order in which they were sent.
 func (r *run) requests() (out []Request) {
 	r.recorder.mu.Lock()
--- a/internal/testbed/soak/scenario.go
+++ b/internal/testbed/soak/scenario.go
@@ -86,8 +86,8 @@
 	if random.IntN(shortDeadlines) == 0 {
 		s.Deadline = between(random, shortestDeadline, maxStopDeadline)
 	}
-	if random.IntN(mysqlInterval) == 0 {
-		s.MySQLClients = 1 + random.IntN(maxMySQLClients)
+	if mysqlClients := 1 + random.IntN(maxMySQLClients); random.IntN(mysqlInterval) == 0 && gateways == 1 {
+		s.MySQLClients = mysqlClients // several gateways would need an operator's file each
 	}
 	for range gateways {
 		s.Stops = append(s.Stops, newStop(random))
--- a/internal/testbed/testfleet/ports.go
+++ b/internal/testbed/testfleet/ports.go
@@ -28,6 +28,15 @@
 	return reserved, out, nil
 }
 
+// FreeAddr returns a free TCP address of the loopback network that a fleet with this seed uses.
+func FreeAddr(seed uint64) (string, error) {
+	addrs, err := freePorts(loopbackAddr(seed), 1)
+	if err != nil {
+		return "", err
+	}
+	return addrs[0].String(), nil
+}
+
 // freePorts finds n free TCP ports. It keeps each open until it has found the last, so that none comes twice.
 func freePorts(addr netip.Addr, n int) (out []netip.AddrPort, err error) {
 	var reserved []net.Listener
