Blame silence only after the path of reports was sound for as long

Operators saw: a good change taken back around an outage of the reports: "1 new gateways report nothing", "did not serve on its version 20 s after its start", and in the last stage the whole fleet for seven seconds of a lost network. TestFleetTroublesOfTheStageAreNotBlamed saw it once.

Cause: one look decided whether a gateway's silence is its own: are old gateways silent in the same moment? When an outage ends and old gateways report first, the new one's whole silence was held against it; in the last stage nobody old is left, and reloads were judged without any look.

The machine notes at each tick whether reports of many are overdue, which shows before a gateway counts as silent, and blames silence only once the path has been sound for silent_s. Where few old gateways are left all are witnesses; one silent for longer than the longest watch is none. Bounds are in docs/design/rollout.md.

--- a/internal/control/rollout/machine.go
+++ b/internal/control/rollout/machine.go
@@ -23,6 +23,10 @@
 	tickedAt    time.Duration // of the last Tick; 0 = none yet
 	evaluatedAt time.Duration // of the last evaluation of a stage
 	verdict     Verdict
+
+	begunAt        time.Duration // when this machine was made
+	pathSuspectAt  time.Duration // when the path of the reports was last suspect; see watchReportPath
+	pathSuspectFor time.Duration // for how long, during the watch
 }
 
 // minPause is the time between two ticks above which the controller itself is assumed to have been paused.
@@ -30,7 +34,7 @@
 
 // New begins a change; all gateways are expected to run the old version. The ids are how the two versions show in reports.
 func New(now time.Duration, p Plan, oldID, newID ID, classes []string, gateways int) *Machine {
-	m := newMachine(p, oldID, newID, classes, gateways)
+	m := newMachine(now, p, oldID, newID, classes, gateways)
 	m.state = State{Phase: Changing, Since: now, Gateways: make([]GatewayState, gateways)}
 	for i := range m.state.Gateways {
 		m.state.Gateways[i] = GatewayState{Target: OldVersion, Step: Steady, Started: OldVersion}
@@ -42,7 +46,7 @@
 
 // Resume returns a Machine that continues a change from a stored state.
 func Resume(now time.Duration, p Plan, oldID, newID ID, classes []string, s State) *Machine {
-	m := newMachine(p, oldID, newID, classes, len(s.Gateways))
+	m := newMachine(now, p, oldID, newID, classes, len(s.Gateways))
 	m.state = s
 	m.state.Gateways = slices.Clone(s.Gateways)
 	for i := range m.observed {
@@ -54,13 +58,16 @@
 	return m
 }
 
-func newMachine(p Plan, oldID, newID ID, classes []string, gateways int) *Machine {
+func newMachine(now time.Duration, p Plan, oldID, newID ID, classes []string, gateways int) *Machine {
 	m := &Machine{
 		plan:     p,
 		ids:      map[string]ID{OldVersion: oldID, NewVersion: newID},
 		classes:  classes,
 		order:    p.order(gateways),
 		observed: make([]observation, gateways),
+		begunAt:  now,
+		// Nobody has been heard of yet.
+		pathSuspectAt: now,
 	}
 	for i := range m.observed {
 		m.observed[i].pid = unknownPID
@@ -138,10 +145,11 @@
 
 // Tick does what is due. It is called several times a second.
 func (m *Machine) Tick(now time.Duration) {
-	m.compensatePause(now)
+	elapsed := m.compensatePause(now)
 	if m.state.Phase.Over() {
 		return
 	}
+	m.watchReportPath(now, elapsed)
 	for _, gateway := range m.order {
 		m.reconcile(now, gateway)
 	}
@@ -163,21 +171,28 @@
 }
 
 // compensatePause moves all deadlines by the time that the controller itself was paused: what gateways reported meanwhile
-// is still in the socket's buffer, so that their silence proves nothing.
-func (m *Machine) compensatePause(now time.Duration) {
+// is still in the socket's buffer, so that their silence proves nothing. It returns the time since the last tick without a pause.
+func (m *Machine) compensatePause(now time.Duration) (elapsed time.Duration) {
+	if m.tickedAt == 0 {
+		m.tickedAt = now
+	}
 	gap := now - m.tickedAt
-	if m.tickedAt > 0 && gap > minPause {
+	m.tickedAt = now
+	if gap > minPause {
 		for i := range m.observed {
 			if m.observed[i].reportedAt > 0 {
 				m.observed[i].reportedAt += gap
 			}
 		}
+		m.begunAt += gap
+		m.pathSuspectAt += gap
 		m.state.Since += gap
 		for i := range m.state.Gateways {
 			m.state.Gateways[i].Since += gap
 		}
+		return 0
 	}
-	m.tickedAt = now
+	return gap
 }
 
 func (m *Machine) setPhase(now time.Duration, p Phase, reason string) {
--- a/internal/control/rollout/observation.go
+++ b/internal/control/rollout/observation.go
@@ -16,6 +16,7 @@
 	checks      []CheckResults // by class, of the watch
 	reloadable  bool           // it can read new settings while it runs
 	recovered   bool           // its step comes from a stored state: the action may not have been carried out
+	waitNoted   bool           // it was noted that the gateway is waited for, as the path of the reports is suspect
 
 	// Checks that the report's counts hold, and those that the baseline's held already: others must not be subtracted from them.
 	reportedChecks, baselineChecks []CheckResults
@@ -24,10 +25,6 @@
 // unknownPID stands for a process that has not been looked for yet.
 const unknownPID = -1
 
-// suspectSilentShare is the share of the old gateways that are silent, from which silence says nothing about the version: the
-// path of the reports may be interrupted.
-const suspectSilentShare = 0.05
-
 // ReceiveReport records a gateway's report. Reports of processes that have ended are ignored.
 func (m *Machine) ReceiveReport(now time.Duration, r Report) {
 	if r.Gateway < 0 || r.Gateway >= len(m.observed) {
@@ -94,12 +91,6 @@
 	return silentOld, silentNew
 }
 
-// reportPathSuspect reports whether so many old gateways are silent that a new one's silence says nothing about its version.
-func (m *Machine) reportPathSuspect(silentOld int) bool {
-	old := len(m.observed) - m.stageTarget(m.state.Stage)
-	return float64(silentOld) >= max(1, suspectSilentShare*float64(old))
-}
-
 // Samples returns what each gateway did while the stage was watched, without those that report nothing.
 func (m *Machine) Samples(now time.Duration) (samples []Sample) {
 	for i := range m.observed {
--- a/internal/control/rollout/reconcile.go
+++ b/internal/control/rollout/reconcile.go
@@ -25,6 +25,7 @@
 	g.Step, g.Since, g.PID = s, now, pid
 	m.dirty = true
 	m.observed[gateway].recovered = false
+	m.observed[gateway].waitNoted = false
 }
 
 // reconcile takes a gateway one step towards its target version.
@@ -95,6 +96,9 @@
 		m.setStep(now, gateway, Reloading, g.PID)
 		m.addAction(Reload{gateway, g.Target, g.PID})
 	case needsRestart, now-g.Since > seconds(m.plan.Change.ReadySeconds):
+		if !needsRestart && m.isSilent(now, gateway) && m.waitForReport(now, gateway) {
+			return
+		}
 		if g.Target == NewVersion && !observed.report.Pending {
 			m.rollBack(now, fmt.Sprintf("gateway %d did not take the new settings", gateway))
 		}
@@ -126,23 +130,27 @@
 	}
 }
 
-// startOverdue handles a process that has not reported in time that it serves. While many old gateways are silent too, the path
-// of the reports is suspect, and the process is waited for longer.
+// startOverdue handles a process that has not reported in time that it serves. One that was not heard of at all is waited for longer
+// where the path of the reports is suspect.
 func (m *Machine) startOverdue(now time.Duration, gateway int) {
 	observed := &m.observed[gateway]
 	unreported := observed.pid > 0 && observed.report.PID != observed.pid
-	if unreported && m.oldGatewaysSilent(now) {
-		m.addNote("gateway %d has not reported since its start, but neither do old ones: it is waited for longer", gateway)
-		m.setStep(now, gateway, Starting, 0)
+	if unreported && m.waitForReport(now, gateway) {
 		return
 	}
 	m.startFailed(now, gateway, fmt.Sprintf("did not serve on its version %g s after its start", m.plan.Change.ReadySeconds))
 }
 
-// oldGatewaysSilent reports whether so many old gateways are silent that the path of the reports is suspect.
-func (m *Machine) oldGatewaysSilent(now time.Duration) bool {
-	silentOld, _ := m.countSilent(now)
-	return m.reportPathSuspect(silentOld)
+// waitForReport reports whether a gateway's overdue report is waited for longer, as the path of the reports is suspect.
+func (m *Machine) waitForReport(now time.Duration, gateway int) bool {
+	if m.pathIsSound(now) {
+		return false
+	}
+	if observed := &m.observed[gateway]; !observed.waitNoted {
+		observed.waitNoted = true
+		m.addNote("gateway %d has not reported in time, but others do not either: it is waited for longer", gateway)
+	}
+	return true
 }
 
 // startProcess starts a gateway on its target version.
--- a/internal/control/rollout/stage.go
+++ b/internal/control/rollout/stage.go
@@ -26,6 +26,7 @@
 // startWatch starts to count from zero.
 func (m *Machine) startWatch(now time.Duration) {
 	m.state.Since, m.dirty = now, true
+	m.pathSuspectFor = 0
 	m.verdict = Verdict{Reason: "it has just begun"}
 	for i := range m.observed {
 		observed := &m.observed[i]
@@ -80,7 +81,7 @@
 	case m.verdict.Worse:
 		m.rollBack(now, m.verdict.Reason)
 		return
-	case silentNew > 0 && watched > seconds(m.plan.Change.SilentSeconds) && !m.reportPathSuspect(silentOld):
+	case silentNew > 0 && watched > seconds(m.plan.Change.SilentSeconds) && m.pathIsSound(now):
 		// A gateway that does not report in time counts as worse.
 		m.rollBack(now, fmt.Sprintf("%d new gateways report nothing", silentNew))
 		return
@@ -90,7 +91,7 @@
 	switch {
 	case m.verdict.Conclusive && watched >= seconds(m.plan.Watch.MinSeconds) && m.converged(NewVersion):
 		m.completeStage(now, samples)
-	case watched >= seconds(m.plan.Watch.MaxSeconds):
+	case watched-min(m.pathSuspectFor, seconds(m.plan.Watch.MaxSeconds)) >= seconds(m.plan.Watch.MaxSeconds):
 		m.endInconclusiveWatch(now)
 	}
 }
