Send a relayed NACK once, also after a pause

What was seen: traffic alone. A member that paused after it had sent the NACK of an indirect probe sent it again; the origin ignores the second.

Cause: the pause postpones timers, and zero, which stands for a NACK that was sent, became a time that had passed. Only a set timer is postponed.

TestRelayedProbeGetsOneNACK had 2 NACKs before.

--- a/internal/control/membership/relay.go
+++ b/internal/control/membership/relay.go
@@ -22,9 +22,11 @@
 	return r.expiresAt
 }
 
-// postpone moves the timers. A NACK that was sent already becomes due again and is repeated; the origin ignores the second.
+// postpone moves the timers, but not that of a NACK that was sent: it would become due again.
 func (r *relayedProbe) postpone(delay time.Duration) {
-	r.nackAt += delay
+	if r.nackAt > 0 {
+		r.nackAt += delay
+	}
 	r.expiresAt += delay
 }
 
