Move the rollout controller and the subset driver above transport

internal/control is said to do no I/O and to import downwards only, yet rollout/controller imported settings and program, and subset/driver the event loop. They are internal/controller and internal/subsetdriver now; their code is unchanged. internal/layers checks with `go list`, in `make lint` and with the tests, that imports point downwards and that what is pure imports nothing that does I/O.

Exported methods that nothing calls are gone (membership Node.Members and Node.Digest, emulator Engine.SetStolenShare).

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SKIP_FLEETS := -skip '^TestFleet$(if $(KNOWN_RED),|$(KNOWN_RED_PATTERN))'
 SKIP_KNOWN_RED := $(if $(KNOWN_RED),-skip '$(KNOWN_RED_PATTERN)')
 
-.PHONY: build test test-debug test-virtual lint run clean sites demo fleettest fleetsim scaletest loadreporttest rollouttest proto
+.PHONY: build test test-debug test-virtual lint run clean sites demo fleettest fleetsim scaletest loadreporttest rollouttest soaktest proto
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -34,6 +34,8 @@
 	@$(LINTER) revive -config tools/revive.toml -formatter plain ./...
 	@echo "lint: errcheck"
 	@$(LINTER) errcheck -ignoretests -exclude tools/errcheck-excludes.txt ./...
+	@echo "lint: layers"
+	@go test -count=1 ./internal/layers
 
 # Every test runs under the race detector, with the tag debug and, where that tag changes the code, without it. What runs on a
 # virtual clock runs again at full length, which the race detector does not allow; that takes few cores, so it runs beside the
@@ -52,7 +54,7 @@
 	go test -race -count=1 -tags debug $(SKIP_FLEETS) ./...
 
 test-virtual:
-	go test -count=1 $(SKIP_KNOWN_RED) ./internal/control/membership/... ./internal/control/subset/driver
+	go test -count=1 $(SKIP_KNOWN_RED) ./internal/control/membership/... ./internal/subsetdriver
 
 # Needs GW_CONFIG, the path of a configuration; FROSTPIER_OPERATOR names an operator's file.
 run: build
@@ -72,6 +74,11 @@
 rollouttest: build
 	for n in 30 100; do bin/fleettest rollout --gateways $$n || exit 1; bin/fleettest rollout --gateways $$n --seeds 3 --plain || exit 1; done
 
+# Planned stops under load, a scenario for each seed. make test plays 13 of them.
+soaktest: build
+	bin/fleettest soak --seeds 1-50
+	bin/fleettest soak --seeds 1-10 --gateways 3
+
 # Hundreds of hollow gateways beside real ones: the slopes over the fleet's size, then the size that is aimed at (some 15 minutes).
 scaletest: build
 	bin/fleettest scale --real 8 --hollow 92,192,392,792 --engines 275 --steps quiet,regions
--- a/cmd/frostpier/rollout.go
+++ b/cmd/frostpier/rollout.go
@@ -15,7 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"frostpier/internal/control/rollout"
-	"frostpier/internal/control/rollout/controller"
+	"frostpier/internal/controller"
 )
 
 // commandLine is what kong parses. The names of commands, arguments and flags follow from those of the fields.
--- a/internal/control/membership/node.go
+++ b/internal/control/membership/node.go
@@ -184,9 +184,6 @@
 // InService returns the number of members in service, this one included unless it leaves.
 func (n *Node) InService() int { return n.serving }
 
-// Members returns the number of members in the configuration.
-func (n *Node) Members() int { return len(n.members) }
-
 // Member returns the state of a member and its incarnation, which is 0 if it was never heard of.
 func (n *Node) Member(i int) (State, uint64) { return n.members[i].state, n.members[i].incarnation }
 
@@ -196,10 +193,6 @@
 // Counts returns the totals since New.
 func (n *Node) Counts() Counts { return n.counts }
 
-// Digest returns a hash of the view: two members have the same one if they agree on which members are in service, dead
-// and left.
-func (n *Node) Digest() uint32 { return n.digest }
-
 // reset drops the datagrams and events of the last call.
 func (n *Node) reset() { n.datagrams, n.events = n.datagrams[:0], n.events[:0] }
 
--- a/internal/program/membership.go
+++ b/internal/program/membership.go
@@ -8,9 +8,9 @@
 	"frostpier/internal/control/loadreport"
 	"frostpier/internal/control/membership"
 	"frostpier/internal/control/rollout"
-	"frostpier/internal/control/subset/driver"
 	"frostpier/internal/invariant"
 	"frostpier/internal/settings"
+	"frostpier/internal/subsetdriver"
 	"frostpier/internal/transport/datagram"
 	"frostpier/internal/transport/dispatcher"
 	"frostpier/internal/transport/eventloop"
@@ -71,7 +71,7 @@
 		p.loadReports = loadreport.New()
 		p.dispatcher.Core.ShareLoadReports(p.loadReports)
 	}
-	p.subset = driver.NewDriver(placeInFleet(s.host), p.loop, p.dispatcher, p.log)
+	p.subset = subsetdriver.NewDriver(placeInFleet(s.host), p.loop, p.dispatcher, p.log)
 	listener := peerMessages{Dispatcher: p.dispatcher, subset: p.subset}
 	if p.version != nil {
 		listener.versions = p.version.versions
@@ -103,7 +103,7 @@
 type peerMessages struct {
 	*dispatcher.Dispatcher
 	versions *rollout.Mix // nil where versions are not reported
-	subset   *driver.Driver
+	subset   *subsetdriver.Driver
 }
 
 // ReceiveVersion records the version that another gateway runs.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"frostpier/internal/control/loadreport"
-	"frostpier/internal/control/subset/driver"
 	"frostpier/internal/invariant"
 	"frostpier/internal/protocol/discovery"
 	"frostpier/internal/settings"
+	"frostpier/internal/subsetdriver"
 	"frostpier/internal/transport/datagram"
 	"frostpier/internal/transport/dispatcher"
 	"frostpier/internal/transport/enginewatch"
@@ -34,7 +34,7 @@
 	membership    *datagram.MembershipDriver // nil = off
 	loadReports   *loadreport.Digest         // nil = off
 	version       *versionReporter           // nil = off
-	subset        *driver.Driver             // nil = off
+	subset        *subsetdriver.Driver       // nil = off
 	invariants    *invariant.Monitor
 	log           *slog.Logger
 	engineEvents  *discovery.Stream
--- a/internal/program/subset.go
+++ b/internal/program/subset.go
@@ -4,9 +4,9 @@
 	"fmt"
 
 	"frostpier/internal/control/subset"
-	"frostpier/internal/control/subset/driver"
 	"frostpier/internal/control/zonetable"
 	"frostpier/internal/settings"
+	"frostpier/internal/subsetdriver"
 )
 
 // subsetConfig returns the configuration of the section subset; nil for no section.
@@ -26,8 +26,8 @@
 }
 
 // placeInFleet returns where the settings put this gateway in its fleet.
-func placeInFleet(host settings.Host) driver.Location {
-	return driver.Location{
+func placeInFleet(host settings.Host) subsetdriver.Location {
+	return subsetdriver.Location{
 		Number: host.Module.Number, Gateways: host.Module.Gateways,
 		Zones: host.Zones, Zone: host.Module.Zone,
 	}
--- a/internal/control/subset/driver/fleet_test.go
+++ b/internal/subsetdriver/fleet_test.go
@@ -1,4 +1,4 @@
-package driver
+package subsetdriver
 
 import (
 	"log/slog"
--- a/internal/control/subset/driver/norace_test.go
+++ b/internal/subsetdriver/norace_test.go
@@ -1,5 +1,5 @@
 //go:build !race
 
-package driver
+package subsetdriver
 
 const raceEnabled = false
--- a/internal/control/subset/driver/race_test.go
+++ b/internal/subsetdriver/race_test.go
@@ -1,6 +1,6 @@
 //go:build race
 
-package driver
+package subsetdriver
 
 // raceEnabled reports whether the race detector runs, with which a test takes ten times as long.
 const raceEnabled = true
--- a/internal/testbed/capacity/role.go
+++ b/internal/testbed/capacity/role.go
@@ -126,7 +126,7 @@
 	return Role{Name: StagedChange, State: "a journal at one controller",
 		Messages: fmt.Sprintf("a report a second; %s/s and %s of a core at the controller", formatBytes(cost.BytesPerSecond*t.Gateways),
 			formatPercent(m.estimate(StagedReportProcessor, t.Gateways))),
-		Cost: cost, Mechanism: "`internal/control/rollout`, `internal/control/rollout/controller`: gateways on the controller's own machine only",
+		Cost: cost, Mechanism: "`internal/control/rollout`, `internal/controller`: gateways on the controller's own machine only",
 		Verdict: compare("14 s, by one stage's least watch of 30 s", minWatchSeconds, t.ConfigurationWithin.Seconds())}
 }
 
--- a/internal/testbed/emulator/engine.go
+++ b/internal/testbed/emulator/engine.go
@@ -132,14 +132,6 @@
 	return known
 }
 
-// SetStolenShare sets the share of the machine, from 0 to 1, that other programs take.
-func (e *Engine) SetStolenShare(share float64) {
-	e.locked(func() {
-		e.finish(e.model.SetStolenShare(e.clock(), share))
-		e.scheduleAdvance()
-	})
-}
-
 // SetReportDelay sets how old a load report is before answers carry it.
 func (e *Engine) SetReportDelay(d time.Duration) { e.locked(func() { e.reportDelay = d }) }
 
--- a/internal/testbed/hollow/gateway.go
+++ b/internal/testbed/hollow/gateway.go
@@ -12,10 +12,10 @@
 	"frostpier/internal/control/loadreport"
 	"frostpier/internal/control/membership"
 	"frostpier/internal/control/subset"
-	"frostpier/internal/control/subset/driver"
 	"frostpier/internal/core"
 	"frostpier/internal/invariant"
 	"frostpier/internal/protocol/discovery"
+	"frostpier/internal/subsetdriver"
 	"frostpier/internal/testbed/scale"
 	"frostpier/internal/transport/datagram"
 	"frostpier/internal/transport/enginewatch"
@@ -50,7 +50,7 @@
 	engines     map[string]subset.Engine // listed, by name
 	reported    []uint64                 // IDs of the engines that are ready and used
 	used        *subsetEngines
-	subset      *driver.Driver
+	subset      *subsetdriver.Driver
 	random      *rand.Rand
 	reportTimer *eventloop.Timer // for the next synthetic load report
 }
@@ -62,7 +62,7 @@
 		digest: loadreport.New(), stream: &discovery.Stream{}, engines: map[string]subset.Engine{},
 		random: rand.New(rand.NewPCG(s.setup.Seed, uint64(member.Number)))}
 	g.used = &subsetEngines{gateway: g}
-	g.subset = driver.NewDriver(s.setup.place(member), g.loop, g.used, s.log)
+	g.subset = subsetdriver.NewDriver(s.setup.place(member), g.loop, g.used, s.log)
 	if err := g.newMembership(member); err != nil {
 		cancel()
 		return nil, err
--- a/internal/testbed/hollow/messages.go
+++ b/internal/testbed/hollow/messages.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"frostpier/internal/control/subset"
-	"frostpier/internal/control/subset/driver"
+	"frostpier/internal/subsetdriver"
 )
 
 // GatewaySetup is the first line to a process of hollow gateways.
@@ -35,8 +35,8 @@
 }
 
 // place returns the position of a member in its fleet.
-func (s GatewaySetup) place(member Member) driver.Location {
-	return driver.Location{Number: member.Number, Gateways: len(s.Peers), Zones: s.Zones, Zone: member.Zone}
+func (s GatewaySetup) place(member Member) subsetdriver.Location {
+	return subsetdriver.Location{Number: member.Number, Gateways: len(s.Peers), Zones: s.Zones, Zone: member.Zone}
 }
 
 // GatewayCommand is a command to a process of hollow gateways. Members that it does not name stay as they are.
--- a/internal/testbed/testfleet/change.go
+++ b/internal/testbed/testfleet/change.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"frostpier/internal/control/rollout"
-	"frostpier/internal/control/rollout/controller"
+	"frostpier/internal/controller"
 	"frostpier/internal/testbed/emulator"
 )
 
--- a/internal/testbed/testfleet/changeplan.go
+++ b/internal/testbed/testfleet/changeplan.go
@@ -9,7 +9,7 @@
 	"slices"
 	"strings"
 
-	"frostpier/internal/control/rollout/controller"
+	"frostpier/internal/controller"
 	"frostpier/internal/testbed/emulator"
 )
 
