--- a/internal/control/rollout/reportpath.go
+++ b/internal/control/rollout/reportpath.go
@@ -22,11 +22,11 @@
 // time since the last one.
 func (m *Machine) watchReportPath(now, elapsed time.Duration) {
 	old, oldOverdue, all, allOverdue := m.countOverdue(now)
-	overdue, witnesses, least := oldOverdue, old, 1
+	overdue, witnesses, minOverdue := oldOverdue, old, 1
 	if old < minOldWitnesses {
-		overdue, witnesses, least = allOverdue, all, minOverdueOfAll
+		overdue, witnesses, minOverdue = allOverdue, all, minOverdueOfAll
 	}
-	if float64(overdue) >= max(float64(least), suspectShare*float64(witnesses)) {
+	if float64(overdue) >= max(float64(minOverdue), suspectShare*float64(witnesses)) {
 		m.pathSuspectAt = now
 	}
 	if !m.pathIsSound(now) {
--- a/internal/testbed/soak/gateway.go
+++ b/internal/testbed/soak/gateway.go
@@ -56,14 +56,14 @@
 		return LostAtKill
 	case killed:
 		return CutByKill
-	case !partial && g.clock()-r.Sent <= crossingWindow && !received:
+	case !partial && (r.crossed || g.clock()-r.Sent <= crossingWindow) && !received:
 		return Crossed
 	}
 	return Lost
 }
 
-// lookInterval is the time between two looks at a process.
-const lookInterval = 5 * time.Millisecond
+// pollInterval is the time between two checks of a process.
+const pollInterval = 5 * time.Millisecond
 
 // terminate sends the gateway its signals, and kills it if it is still there at the platform's earliest.
 func (g *gateway) terminate(killDelay time.Duration) (exit Exit) {
@@ -79,7 +79,7 @@
 		time.AfterFunc(s.After, func() { _ = g.fleet.Signal(g.number, s.Signal) }) // it may have exited by then
 	}
 	for g.clock() < at+killDelay && g.fleet.Up(g.number) {
-		time.Sleep(lookInterval)
+		time.Sleep(pollInterval)
 	}
 	if exit.Killed = g.kill(); exit.Killed {
 		return Exit{After: g.clock() - at, Killed: true, Err: nil}
--- a/internal/testbed/soak/mysqlclient.go
+++ b/internal/testbed/soak/mysqlclient.go
@@ -52,7 +52,7 @@
 	for c.gateway.acceptsClients() {
 		conn, err := connector.Connect(context.Background())
 		if err != nil {
-			c.rest()
+			c.wait()
 			continue
 		}
 		c.use(conn)
@@ -60,14 +60,14 @@
 	}
 }
 
-func (c *mysqlClient) rest() {
+func (c *mysqlClient) wait() {
 	time.Sleep(time.Duration(c.random.ExpFloat64() * float64(meanPause)))
 }
 
 // use sends queries over a connection until its end.
 func (c *mysqlClient) use(conn driver.Conn) {
 	for number := 1; ; number++ {
-		c.rest()
+		c.wait()
 		if _, killed := c.gateway.killed(); killed {
 			return
 		}
--- a/internal/testbed/soak/platformclient.go
+++ b/internal/testbed/soak/platformclient.go
@@ -15,11 +15,11 @@
 const (
 	dialTimeout       = time.Second
 	meanPause         = 30 * time.Millisecond
-	meanRest          = 400 * time.Millisecond
+	meanLongPause          = 400 * time.Millisecond
 	maxPartialPause   = 250 * time.Millisecond // in the middle of a line
 	maxAbortDelay     = 300 * time.Millisecond
 	maxPipelined      = 6
-	restingClients    = 8  // one client in so many rests between its requests
+	pausingClients    = 8  // one client in so many pauses for longer between its requests
 	pipeliningClients = 8  // one client in so many has several requests open
 	partialLines      = 20 // one request in so many is sent in two parts
 	abortedRequests   = 40 // one request in so many is aborted
@@ -45,8 +45,8 @@
 	random := rand.New(rand.NewPCG(seed, uint64(100+number)))
 	c := &platformClient{number: number, gateway: g, addr: addr, classes: classes, random: random, recorder: r, engines: e,
 		pause: meanPause, openMax: 1}
-	if random.IntN(restingClients) == 0 {
-		c.pause = meanRest
+	if random.IntN(pausingClients) == 0 {
+		c.pause = meanLongPause
 	}
 	if random.IntN(pipeliningClients) == 0 {
 		c.openMax = 1 + random.IntN(maxPipelined)
@@ -59,7 +59,7 @@
 	for c.gateway.acceptsClients() {
 		conn, err := net.DialTimeout("tcp", c.addr, dialTimeout)
 		if err != nil {
-			c.rest()
+			c.wait()
 			continue
 		}
 		c.use(newPlatformConn(conn.(*net.TCPConn), c))
@@ -75,7 +75,7 @@
 			return
 		case conn.slots <- struct{}{}:
 		}
-		c.rest()
+		c.wait()
 		if conn.hasEnded() {
 			return
 		}
@@ -83,7 +83,7 @@
 	}
 }
 
-func (c *platformClient) rest() {
+func (c *platformClient) wait() {
 	time.Sleep(time.Duration(c.random.ExpFloat64() * float64(c.pause)))
 }
 
@@ -109,9 +109,7 @@
 			return
 		}
 	}
-	if conn.begin(request) {
-		_ = conn.write(line)
-	}
+	conn.send(request, line)
 }
 
 // draw draws the next request of a connection, and returns it with its line.
--- a/internal/testbed/soak/platformconn.go
+++ b/internal/testbed/soak/platformconn.go
@@ -77,17 +77,20 @@
 	return ended || err != nil
 }
 
-// begin records that a request is about to be sent whole, and reports false if the connection has ended.
-func (p *platformConn) begin(r *Request) bool {
+// send writes the rest of a request's line, unless the connection has ended. A failed write shows as the connection's end. The end may
+// stand in the socket right behind the write; it is looked for here, as the reader may be scheduled late.
+func (p *platformConn) send(r *Request, line []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isOver {
-		return false
+		return
 	}
-	r.Sent = p.client.gateway.clock()
+	clock := p.client.gateway.clock
+	r.Sent = clock()
 	p.client.recorder.add(r)
 	p.open[r.Number] = r
-	return true
+	_ = p.write(line)
+	r.crossed = EndOfInput(p.conn) && clock()-r.Sent <= crossingWindow
 }
 
 // abort aborts a request that is open.
--- a/internal/testbed/soak/request.go
+++ b/internal/testbed/soak/request.go
@@ -51,6 +51,8 @@
 	Took       time.Duration // until its end
 	End        End
 	Duplicates int // answers after the first
+
+	crossed bool // the connection's end was there within crossingWindow of its sending
 }
 
 // String describes a request in a line.
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -38,6 +38,15 @@
 	exitTimeout    = 10 * time.Second // after SIGKILL
 )
 
+// maxDescriptors returns how many descriptors a gateway may use. The MySQL front takes half of the clients' share, and a crowd has to
+// fit into the rest: newcomers beyond it may be closed unread.
+func (s Scenario) maxDescriptors() int {
+	if s.MySQLClients > 0 {
+		return 2 * maxDescriptors
+	}
+	return maxDescriptors
+}
+
 // run is a run in progress.
 type run struct {
 	scenario Scenario
@@ -83,7 +92,7 @@
 		Command:        options.Command,
 		Env:            options.Env,
 		Engines:        r.engines.pool.EngineList(),
-		MaxDescriptors: maxDescriptors,
+		MaxDescriptors: r.scenario.maxDescriptors(),
 		Operator:       operator,
 		Settings:       func(n, self int) string { return emulator.Settings(classes, n, self, engineCores) },
 	})
