--- a/internal/testbed/soak/platformclient.go
+++ b/internal/testbed/soak/platformclient.go
@@ -15,7 +15,7 @@
 const (
 	dialTimeout       = time.Second
 	meanPause         = 30 * time.Millisecond
-	meanLongPause          = 400 * time.Millisecond
+	meanLongPause     = 400 * time.Millisecond
 	maxPartialPause   = 250 * time.Millisecond // in the middle of a line
 	maxAbortDelay     = 300 * time.Millisecond
 	maxPipelined      = 6
