Test that a reload in an outage of reports is waited for

The mend of the staged change's outages covers settings that gateways read while they run; nothing held that. Without it the gateway "did not take the new settings" in an outage of 28 s. One that is silent alone, or that reports and has not taken them, still has the change rolled back.

--- /dev/null
+++ b/internal/control/rollout/reload_test.go
@@ -0,0 +1,53 @@
+package rollout
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// A gateway that reads new settings in an outage of the reports is waited for until it reports again; one that reports and has not taken
+// them up, or is silent alone, has the change rolled back.
+func TestReloadInReportOutage(t *testing.T) {
+	const gateways, outage = 12, 28 * time.Second
+	oldID, newID := ID{Program: 1, Settings: 5}, ID{Program: 1, Settings: 6}
+	for name, c := range map[string]struct {
+		affects   func(gateway, reloaded int) bool // whose reports are lost during the outage
+		takes     bool                             // it takes the new settings
+		rollsBack bool
+	}{
+		"outage":       {func(int, int) bool { return true }, true, false},
+		"silent alone": {func(gateway, reloaded int) bool { return gateway == reloaded }, true, true},
+		"not taken":    {func(int, int) bool { return false }, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New(simEpoch, simPlan(t, gateways, ""), oldID, newID, simClasses, gateways)
+			reloaded, reloadedAt := -1, time.Duration(0)
+			for now := simEpoch; now < simEpoch+time.Minute && m.State().Phase == Changing; now += simTick {
+				for i := range gateways {
+					m.ObserveProcess(i, 100+i, true)
+					id := oldID
+					if i == reloaded && c.takes {
+						id = newID
+					}
+					lost := reloaded >= 0 && now < reloadedAt+outage && c.affects(i, reloaded)
+					late := i == reloaded && now < reloadedAt+outage+2*time.Second // it is heard of again after the others
+					if isDue := (int(now/simTick)+i)%5 == 0; isDue && !lost && !(late && c.affects(i, reloaded)) {
+						m.ReceiveReport(now, Report{Gateway: i, PID: 100 + i, Started: simEpoch, Program: id.Program, Settings: id.Settings,
+							Serving: true, Classes: make([]Counts, len(simClasses))})
+					}
+				}
+				m.Tick(now)
+				for _, action := range m.Actions() {
+					if r, is := action.(Reload); is && reloaded < 0 {
+						reloaded, reloadedAt = r.Gateway, now
+					}
+				}
+			}
+			reason := m.State().Reason
+			if got := strings.Contains(reason, "did not take the new settings"); got != c.rollsBack || !got && m.State().Phase != Watching {
+				t.Errorf("%s: %s", m.State().Phase, reason)
+			}
+		})
+	}
+}
