Soak: keep a request's budget with it, and one constant for the kill

The budget of a request was worked out when it was sent and again from its class when it was answered; it is kept with the request now. The time to the kill stood in the tool's table a second time. The classes' deadlines were shortened and then read anew where they are not.

--- a/cmd/fleettest/soaktable.go
+++ b/cmd/fleettest/soaktable.go
@@ -25,9 +25,6 @@
 	return t
 }
 
-// earlyRequests is how long after SIGTERM a request is owed an answer before the kill.
-const earlyRequests = 700 * time.Millisecond
-
 // lossesByTime counts the lost requests by when they were sent.
 func lossesByTime(r soak.Result) string {
 	var before, early, late int
@@ -36,7 +33,7 @@
 		case request.End != soak.Lost:
 		case request.SentAfter < 0:
 			before++
-		case request.SentAfter <= earlyRequests:
+		case request.SentAfter <= soak.KillGrace:
 			early++
 		default:
 			late++
--- a/internal/testbed/soak/gateway.go
+++ b/internal/testbed/soak/gateway.go
@@ -44,7 +44,7 @@
 // owedAtKill reports whether a request that was sent at this time is owed an answer before the kill.
 func (g *gateway) owedAtKill(sent time.Duration) bool {
 	at, done := g.terminated()
-	return !done || sent <= at+killGrace
+	return !done || sent <= at+KillGrace
 }
 
 // endOfUnanswered returns how a request ended whose connection ended just now, before its answer or, if partial, in the middle of it.
--- a/internal/testbed/soak/mysqlclient.go
+++ b/internal/testbed/soak/mysqlclient.go
@@ -71,7 +71,7 @@
 		if _, killed := c.gateway.killed(); killed {
 			return
 		}
-		request := &Request{Gateway: c.gateway.number, Client: c.number, Number: number, MySQL: true, Class: mysqlClass,
+		request := &Request{Gateway: c.gateway.number, Client: c.number, Number: number, MySQL: true, Class: mysqlClass, Budget: c.budget,
 			ID: fmt.Sprintf("%016x", c.random.Uint64())}
 		if !c.query(conn, request) {
 			return
@@ -125,7 +125,7 @@
 	switch isAnswer := errors.As(err, &answer); {
 	case err != nil && !isAnswer:
 		return c.gateway.endOfUnanswered(r, c.engine.Received(r.ID), false)
-	case r.Took > c.budget+answerSlack:
+	case r.Took > r.Budget+answerSlack:
 		return Late
 	case isAnswer && answer.Number == mysqlRejected:
 		return Rejected
--- a/internal/testbed/soak/platformclient.go
+++ b/internal/testbed/soak/platformclient.go
@@ -120,11 +120,12 @@
 		Gateway: c.gateway.number, Client: c.number, Number: conn.lastNumber,
 		ID:         fmt.Sprintf("%016x", c.random.Uint64()),
 		Class:      class.Name,
+		Budget:     min(class.Timeout, maxStopDeadline),
 		IsRejected: c.random.IntN(rejectedQueries) == 0,
 	}
 	params := map[string]any{
 		"rid":    r.ID,
-		"budget": min(class.Timeout, maxStopDeadline).Milliseconds(),
+		"budget": r.Budget.Milliseconds(),
 		"blob":   base64.StdEncoding.EncodeToString([]byte(drawStatement(c.random, class, r.IsRejected))),
 	}
 	if class.Load {
--- a/internal/testbed/soak/platformconn.go
+++ b/internal/testbed/soak/platformconn.go
@@ -157,14 +157,8 @@
 
 // endOf returns how an answer ends its request.
 func (p *platformConn) endOf(r *Request, a platformAnswer) End {
-	budget := maxStopDeadline
-	for _, c := range p.client.classes {
-		if c.Name == r.Class {
-			budget = min(budget, c.Timeout)
-		}
-	}
 	switch {
-	case p.client.gateway.clock()-r.Sent > budget+answerSlack:
+	case p.client.gateway.clock()-r.Sent > r.Budget+answerSlack:
 		return Late
 	case a.Error != nil && a.Error.Code == codeRejected:
 		return Rejected
--- a/internal/testbed/soak/request.go
+++ b/internal/testbed/soak/request.go
@@ -45,6 +45,7 @@
 	MySQL      bool
 	ID         string        // by which engines know it
 	Class      string        // of the query
+	Budget     time.Duration // in which its client wants the answer
 	IsRejected bool          // engines reject its statement whenever they get it
 	Sent       time.Duration // its last byte, since the clients' start
 	SentAfter  time.Duration // SIGTERM; negative before it
--- a/internal/testbed/soak/scenario.go
+++ b/internal/testbed/soak/scenario.go
@@ -9,11 +9,14 @@
 	"frostpier/internal/testbed/emulator"
 )
 
-// Times of a planned restart, as the platform's pages have them.
+// KillGrace is the least time from the longest deadline to SIGKILL. A request that was sent up to so long after SIGTERM is owed an answer
+// before the kill.
+const KillGrace = 700 * time.Millisecond
+
+// Further times of a planned restart, as the platform's pages have them.
 const (
-	maxStopDeadline = 3 * time.Second        // the longest deadline of a class counts as no more than this
-	killGrace       = 700 * time.Millisecond // from that deadline to SIGKILL, at the least
-	crossingWindow  = 50 * time.Millisecond  // a request that crosses the end of its connection by less is sent elsewhere
+	maxStopDeadline = 3 * time.Second       // the longest deadline of a class counts as no more than this
+	crossingWindow  = 50 * time.Millisecond // a request that crosses the end of its connection by less is sent elsewhere
 )
 
 // Bounds of what is drawn.
@@ -113,7 +116,7 @@
 }
 
 // KillDelay returns when the platform kills a gateway, at its earliest, after SIGTERM.
-func (s Scenario) KillDelay() time.Duration { return min(s.Deadline, maxStopDeadline) + killGrace }
+func (s Scenario) KillDelay() time.Duration { return min(s.Deadline, maxStopDeadline) + KillGrace }
 
 // String describes the scenario in a line.
 func (s Scenario) String() string {
@@ -124,11 +127,11 @@
 // classes returns the classes of queries.
 func (s Scenario) classes() []emulator.Class {
 	classes := emulator.DefaultClasses()
+	if s.Deadline == maxStopDeadline { // those of classes may well be longer
+		return classes
+	}
 	for i := range classes {
 		classes[i].Timeout = min(classes[i].Timeout, s.Deadline)
-		if s.Deadline == maxStopDeadline { // others may well be longer
-			classes[i].Timeout = emulator.DefaultClasses()[i].Timeout
-		}
 	}
 	return classes
 }
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -17,7 +17,7 @@
 		if crowd := s.Clients == crowdClients; crowd != (seed%crowdInterval == 0) {
 			t.Errorf("seed %d: %d clients", seed, s.Clients)
 		}
-		if s.KillDelay() != s.Deadline+killGrace || s.Deadline > maxStopDeadline {
+		if s.KillDelay() != s.Deadline+KillGrace || s.Deadline > maxStopDeadline {
 			t.Errorf("seed %d: killed after %v with a deadline of %v", seed, s.KillDelay(), s.Deadline)
 		}
 		for _, stop := range s.Stops {
@@ -49,8 +49,8 @@
 		{"too late to have crossed", 3 * time.Second, 3*time.Second + 2*crossingWindow, false, false, false, false, Lost},
 		{"an engine got it", 3 * time.Second, 3 * time.Second, false, true, false, true, Lost},
 		{"in the middle of its answer", 3 * time.Second, 3 * time.Second, false, false, true, false, Lost},
-		{"killed, sent early", killGrace, 3700 * time.Millisecond, true, false, false, false, LostAtKill},
-		{"killed, sent late", killGrace + time.Millisecond, 3700 * time.Millisecond, true, false, false, false, CutByKill},
+		{"killed, sent early", KillGrace, 3700 * time.Millisecond, true, false, false, false, LostAtKill},
+		{"killed, sent late", KillGrace + time.Millisecond, 3700 * time.Millisecond, true, false, false, false, CutByKill},
 		{"killed, sent before SIGTERM", -time.Second, 3700 * time.Millisecond, true, false, false, false, LostAtKill},
 	} {
 		t.Run(c.name, func(t *testing.T) {
