frontend: a stopped listener accepts until the kernel holds no connection

Callers saw connections reset 0.8 to 1.2 s after SIGTERM, their requests unanswered, when the gateway had little processor time. Cause: the stop gave the accept goroutine 20 ms; the Go runtime returns the error of an expired deadline without asking the kernel, so a goroutine that was not scheduled in that time accepted nothing more, closed the listener, and the kernel reset what it still held.

The stop now only wakes the accept goroutine, which accepts until poll says that nothing is queued, and then closes the listener: a condition in place of a time, so no pause can make it late.

--- a/internal/transport/frontend/listener.go
+++ b/internal/transport/frontend/listener.go
@@ -1,44 +1,6 @@
 package frontend
 
-import (
-	"errors"
-	"log/slog"
-	"net"
-	"os"
-	"time"
-
-	"frostpier/internal/transport/eventloop"
-)
-
-const acceptBackoff = 20 * time.Millisecond
-
-// accept is the accept goroutine of a listener. It passes one connection at a time to the loop, since an accepted connection that has not
-// been handled yet holds a descriptor that no budget accounts for. It retries after errors such as a lack of descriptors. After
-// stopAccepting it passes on the connections that the kernel has already accepted, and posts done.
-func accept(loop *eventloop.Loop, log *slog.Logger, ln net.Listener, handle func(net.Conn), done func()) {
-	for {
-		nc, err := ln.Accept()
-		switch {
-		case err == nil:
-			loop.Do(func() { handle(nc) })
-		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
-			_ = ln.Close() // it may already be closed
-			loop.Post(done)
-			return
-		default:
-			log.Warn("accept failed, retrying", "error", err)
-			time.Sleep(acceptBackoff)
-		}
-	}
-}
-
-// stopAccepting closes a listener once the connections that the kernel has already accepted have been handled.
-func stopAccepting(ln net.Listener) {
-	if tcp, ok := ln.(*net.TCPListener); ok && tcp.SetDeadline(time.Now().Add(acceptBackoff)) == nil {
-		return
-	}
-	_ = ln.Close() // makes Accept return, even if Close returns an error
-}
+import "time"
 
 // closableConn is a client connection that a connSet can close.
 type closableConn interface {
--- a/internal/transport/frontend/listener_races_test.go
+++ b/internal/transport/frontend/listener_races_test.go
@@ -11,6 +11,7 @@
 
 	"frostpier/internal/testutil/nettest"
 	"frostpier/internal/transport/dispatcher"
+	"frostpier/internal/transport/eventloop"
 )
 
 // The tests in this file force races between the stop of a listener and its clients; docs/design/crossings.md lists them.
@@ -34,6 +35,54 @@
 	}
 }
 
+// pauseAfterStop is longer than any time that a listener may wait for its accept goroutine.
+const pauseAfterStop = 100 * time.Millisecond
+
+// waitOut blocks the loop, on which it is called, for a duration, as if the process got no CPU time. The accept goroutine is blocked too, since
+// it waits for the loop to handle the connection that it has accepted.
+func waitOut(t *testing.T, loop *eventloop.Loop, d time.Duration) {
+	end := loop.Now() + d
+	nettest.Eventually(t, "the pause to end", func() bool { return loop.Now() > end })
+}
+
+// Connections that the kernel has accepted before the listener is closed are served even if the process is paused right after Stop. It
+// guards against a stop that waits for the accept goroutine for a fixed time, and resets the connections that it has not accepted by then.
+func TestQueuedConnectionsAreServedAfterPausedStop(t *testing.T) {
+	f := newFixture(t, 4)
+	done := make(chan struct{})
+	var queued []net.Conn
+	f.loop.Do(func() {
+		for range 8 {
+			nc := dialAndSend(t, f.PlatformListener, ping)
+			nettest.WaitDelivered(t, nc)
+			queued = append(queued, nc)
+		}
+		f.Stop(func() { close(done) })
+		waitOut(t, f.loop, pauseAfterStop)
+	})
+	<-done
+	for _, nc := range queued {
+		expectPong(t, nc)
+	}
+}
+
+// The same as TestQueuedConnectionsAreServedAfterPausedStop for a MySQL listener, which also stops accepting when another gateway becomes
+// master of its address.
+func TestQueuedMySQLConnectionsAreServedAfterPausedStopAccepting(t *testing.T) {
+	l := newMySQLFixture(t)
+	var queued []net.Conn
+	l.dispatcher.Loop.Do(func() {
+		if err := l.Listen(); err != nil {
+			t.Error(err)
+			return
+		}
+		queued = dialMySQL(t, l, 8)
+		l.StopAccepting()
+		waitOut(t, l.dispatcher.Loop, pauseAfterStop)
+	})
+	expectGreetings(t, queued)
+}
+
 // At most one accepted connection waits to be handled on the loop: more would use the descriptors that the discovery watch needs.
 func TestAtMostOneAcceptedConnectionWaitsForLoop(t *testing.T) {
 	f := newFixture(t, 4)
@@ -102,55 +151,65 @@
 	}
 }
 
-// connectMySQL returns a MySQL listener and a client connection to it, from which the first byte of the greeting was read.
-func connectMySQL(t *testing.T) (*MySQLListener, net.Conn) {
+// newMySQLFixture returns a MySQL listener without engines that is not listening yet.
+func newMySQLFixture(t *testing.T) *MySQLListener {
 	t.Helper()
 	loop, p := newPool(t, 1)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	l := NewMySQLListener(dispatcher.New(loop, nil, p, log), p, log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 8})
-	loop.Do(func() {
+	return NewMySQLListener(dispatcher.New(loop, nil, p, log), p, log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 8})
+}
+
+// dialMySQL opens connections to a listening MySQL listener.
+func dialMySQL(t *testing.T, l *MySQLListener, count int) (conns []net.Conn) {
+	t.Helper()
+	for range count {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(nettest.Timeout))
+		conns = append(conns, nc)
+	}
+	return conns
+}
+
+// expectGreetings reads the first byte of the server's greeting from each connection.
+func expectGreetings(t *testing.T, conns []net.Conn) {
+	t.Helper()
+	for _, nc := range conns {
+		if _, err := nc.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// connectMySQL returns a MySQL listener and a client connection to it, from which the first byte of the greeting was read.
+func connectMySQL(t *testing.T) (*MySQLListener, net.Conn) {
+	t.Helper()
+	l := newMySQLFixture(t)
+	l.dispatcher.Loop.Do(func() {
 		if err := l.Listen(); err != nil {
 			t.Error(err)
 		}
 	})
-	nc, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(nettest.Timeout))
-	if _, err := nc.Read(make([]byte, 1)); err != nil { // the first byte of the greeting
-		t.Fatal(err)
-	}
-	return l, nc
+	conns := dialMySQL(t, l, 1)
+	expectGreetings(t, conns)
+	return l, conns[0]
 }
 
 // Connections that the kernel has accepted before the MySQL listener is closed are served, whether it is closed because the gateway stops
 // or because another gateway becomes master.
 func TestAcceptedMySQLConnectionsAreServedAfterStopAccepting(t *testing.T) {
-	loop, p := newPool(t, 1)
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	l := NewMySQLListener(dispatcher.New(loop, nil, p, log), p, log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 8})
+	l := newMySQLFixture(t)
 	var late []net.Conn
-	loop.Do(func() {
+	l.dispatcher.Loop.Do(func() {
 		if err := l.Listen(); err != nil {
 			t.Error(err)
+			return
 		}
-		for range 8 {
-			nc, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			t.Cleanup(func() { nc.Close() })
-			late = append(late, nc)
-		}
+		late = dialMySQL(t, l, 8)
 		l.StopAccepting()
 	})
-	for _, nc := range late {
-		nc.SetDeadline(time.Now().Add(nettest.Timeout))
-		if _, err := nc.Read(make([]byte, 1)); err != nil { // the first byte of the greeting
-			t.Fatal(err)
-		}
-	}
+	expectGreetings(t, late)
 }
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -40,8 +40,8 @@
 	pool         *enginepool.Pool
 	log          *slog.Logger
 	config       MySQLConfig
-	ln           net.Listener // nil while not listening
-	lastThreadID uint32       // thread ID (MySQL connection ID) of the newest connection
+	ln           *net.TCPListener // nil while not listening
+	lastThreadID uint32           // thread ID (MySQL connection ID) of the newest connection
 	retryTimer   *eventloop.Timer
 	loginTimeout time.Duration
 }
@@ -63,13 +63,14 @@
 	if l.ln != nil {
 		return nil
 	}
-	ln, err := net.Listen("tcp", l.config.Listen)
+	ln, err := listen(l.config.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for MySQL clients: %w", err)
 	}
 	l.ln = ln
 	l.log.Info("mysql listener opened", "listen", ln.Addr().String())
-	go accept(l.dispatcher.Loop, l.log, ln, l.handleConn, func() {})
+	a := &acceptor{loop: l.dispatcher.Loop, log: l.log, ln: ln, handle: l.handleConn, done: func() {}}
+	go a.run()
 	return nil
 }
 
--- a/internal/transport/frontend/platform.go
+++ b/internal/transport/frontend/platform.go
@@ -30,7 +30,7 @@
 
 	dispatcher *dispatcher.Dispatcher
 	log        *slog.Logger
-	ln         net.Listener
+	ln         *net.TCPListener
 	onStopped  func() // called after the last accepted connection was handled
 
 	maxConns           int           // including connections that are being closed
@@ -55,19 +55,23 @@
 
 // Serve listens on addr and accepts connections until Stop is called. It is called once, before Stop.
 func (l *PlatformListener) Serve(addr string) error {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := listen(addr)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	l.ln = ln
-	go accept(l.dispatcher.Loop, l.log, ln, l.handleConn, func() {
-		if l.onStopped != nil {
-			l.onStopped()
-		}
-	})
+	a := &acceptor{loop: l.dispatcher.Loop, log: l.log, ln: ln, handle: l.handleConn, done: l.stopped}
+	go a.run()
 	return nil
 }
 
+// stopped is called after the last accepted connection was handled.
+func (l *PlatformListener) stopped() {
+	if l.onStopped != nil {
+		l.onStopped()
+	}
+}
+
 // Drain makes ping report that this gateway is no longer serving. Requests are still accepted.
 func (l *PlatformListener) Drain() { l.serving = false }
 
