frontend: the loop accepts all queued connections in one turn

Callers got answers over half a second late, or none before the kill, when a few hundred clients connected to a gateway with little processor time. Cause: the accept goroutine handed connections to the loop one by one, and each waited for everything queued there: ten accepts a second with 100 queued functions. Requests aged in the kernel meanwhile, and a time budget counts from the moment a request is read.

The loop now accepts what is queued behind the first connection itself, up to 64 in a turn, and handles each before the next, so at most one holds a descriptor that is not counted, as before.

TestLoopAcceptsQueuedConnectionsInOneTurn failed before (1 of 8 open).

--- a/internal/transport/frontend/listener_races_test.go
+++ b/internal/transport/frontend/listener_races_test.go
@@ -97,6 +97,23 @@
 	})
 }
 
+// The loop handles all connections that the kernel holds in one turn. It guards against accepting a single connection each time that the loop
+// has passed its whole queue, which leaves the last of many new clients unread for seconds while the loop is behind.
+func TestLoopAcceptsQueuedConnectionsInOneTurn(t *testing.T) {
+	const conns = 8
+	f := newFixture(t, 4)
+	f.loop.Do(func() {
+		for range conns {
+			dialAndSend(t, f.PlatformListener, "")
+		}
+		f.waitQueued(1)
+		f.loop.RunNext()
+		if len(f.open) != conns {
+			t.Errorf("%d connections are open after one turn of the loop, want %d", len(f.open), conns)
+		}
+	})
+}
+
 // CloseIdle keeps a connection with an incomplete line, since the rest of the request may follow before the line timeout.
 func TestCloseIdleKeepsConnectionWithIncompleteLine(t *testing.T) {
 	e := nettest.NewEngine(t, "e")
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -40,8 +40,8 @@
 	pool         *enginepool.Pool
 	log          *slog.Logger
 	config       MySQLConfig
-	ln           *net.TCPListener // nil while not listening
-	lastThreadID uint32           // thread ID (MySQL connection ID) of the newest connection
+	acceptor     *acceptor // nil while not listening
+	lastThreadID uint32    // thread ID (MySQL connection ID) of the newest connection
 	retryTimer   *eventloop.Timer
 	loginTimeout time.Duration
 }
@@ -60,35 +60,34 @@
 
 // Listen starts accepting connections. It does nothing if the listener is already open.
 func (l *MySQLListener) Listen() error {
-	if l.ln != nil {
+	if l.acceptor != nil {
 		return nil
 	}
 	ln, err := listen(l.config.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for MySQL clients: %w", err)
 	}
-	l.ln = ln
 	l.log.Info("mysql listener opened", "listen", ln.Addr().String())
-	a := &acceptor{loop: l.dispatcher.Loop, log: l.log, ln: ln, handle: l.handleConn, done: func() {}}
-	go a.run()
+	l.acceptor = &acceptor{loop: l.dispatcher.Loop, log: l.log, ln: ln, handle: l.handleConn, done: func() {}}
+	go l.acceptor.run()
 	return nil
 }
 
 // Addr returns the address of the listener, or nil if it is not open.
 func (l *MySQLListener) Addr() net.Addr {
-	if l.ln == nil {
+	if l.acceptor == nil {
 		return nil
 	}
-	return l.ln.Addr()
+	return l.acceptor.ln.Addr()
 }
 
 // StopAccepting closes the listener and cancels a scheduled retry. Open connections are kept, and those that the kernel has already accepted
 // are still handled.
 func (l *MySQLListener) StopAccepting() {
 	l.retryTimer.Stop()
-	if l.ln != nil {
-		stopAccepting(l.ln)
-		l.ln = nil
+	if l.acceptor != nil {
+		l.acceptor.stop()
+		l.acceptor = nil
 		l.log.Info("mysql listener closed")
 	}
 }
--- a/internal/transport/frontend/platform.go
+++ b/internal/transport/frontend/platform.go
@@ -30,8 +30,8 @@
 
 	dispatcher *dispatcher.Dispatcher
 	log        *slog.Logger
-	ln         *net.TCPListener
-	onStopped  func() // called after the last accepted connection was handled
+	acceptor   *acceptor // nil before Serve
+	onStopped  func()    // called after the last accepted connection was handled
 
 	maxConns           int           // including connections that are being closed
 	maxIncompleteBytes int           // limit of incompleteBytes
@@ -59,9 +59,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
-	l.ln = ln
-	a := &acceptor{loop: l.dispatcher.Loop, log: l.log, ln: ln, handle: l.handleConn, done: l.stopped}
-	go a.run()
+	l.acceptor = &acceptor{loop: l.dispatcher.Loop, log: l.log, ln: ln, handle: l.handleConn, done: l.stopped}
+	go l.acceptor.run()
 	return nil
 }
 
@@ -79,11 +78,11 @@
 // requests; then done is called.
 func (l *PlatformListener) Stop(done func()) {
 	l.onStopped = done
-	if l.ln == nil {
+	if l.acceptor == nil {
 		done()
 		return
 	}
-	stopAccepting(l.ln)
+	l.acceptor.stop()
 }
 
 // handleConn handles an accepted connection.
--- a/internal/transport/frontend/platform_test.go
+++ b/internal/transport/frontend/platform_test.go
@@ -43,7 +43,7 @@
 // dialAndSend connects to the listener and sends text.
 func dialAndSend(t *testing.T, l *PlatformListener, text string) net.Conn {
 	t.Helper()
-	nc, err := net.Dial("tcp", l.ln.Addr().String())
+	nc, err := net.Dial("tcp", l.acceptor.ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
