eventloop: deadlines and shutdown steps precede queued functions

Callers got rejections up to a second after their deadline, or none before the kill, from a gateway that was behind. Cause: expired timers are queued behind all reads, so the review that finishes requests ran once for each pass of the queue, and the shutdown's steps came as late.

AfterWithPriority calls a function before all queued ones; each request's deadline (new event DeadlinePassed) and the shutdown's steps use it. All other timers wait their turn, so that a response that has been read precedes its time-out. In ordinary operation the review still comes first, so decisions are the same.

The new test in frontend failed before ("1 requests are open 1s after a budget of 400 ms began").

--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -93,6 +93,16 @@
 	return class.LatencyObjective + time.Duration(forWork)
 }
 
+// DeadlinePassed reports that the deadline of a request has passed. The request gets its final reply, unless it has one or its
+// response has started.
+func (c *Core) DeadlinePassed(now time.Duration, id RequestID) []Action {
+	r := c.requests[id]
+	if r == nil || r.replied {
+		return nil
+	}
+	return c.dispatch(now, policy.DeadlinePassed{ID: id})
+}
+
 // Cancel reports that the client no longer wants a reply. Attempts in flight are cancelled.
 func (c *Core) Cancel(now time.Duration, id RequestID) []Action {
 	r := c.requests[id]
--- a/internal/program/stop.go
+++ b/internal/program/stop.go
@@ -67,9 +67,9 @@
 		p.vrrp.Stop() // stop at once, so that the next master takes over the address
 	}
 	p.loop.After(acceptDuration, p.stopAccepting)
-	p.loop.After(p.shutdownDeadline+replyGrace, p.dispatcher.Close)
-	p.loop.After(p.shutdownDeadline+closeGrace, p.closeConnections)
-	p.loop.After(p.shutdownDeadline+closeGrace+peerCloseGrace, p.exit)
+	p.loop.AfterWithPriority(p.shutdownDeadline+replyGrace, p.dispatcher.Close)
+	p.loop.AfterWithPriority(p.shutdownDeadline+closeGrace, p.closeConnections)
+	p.loop.AfterWithPriority(p.shutdownDeadline+closeGrace+peerCloseGrace, p.exit)
 }
 
 // stopAccepting closes the listeners. Afterwards, each connection is closed with its last response or once it is idle for
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -51,6 +51,7 @@
 	attempt       Attempt          // nil if none is in flight
 	attemptNumber int              // number of the latest attempt
 	timeout       *eventloop.Timer // fires when the latest attempt times out
+	deadline      *eventloop.Timer // fires at the core's deadline for the request
 	replied       bool             // true also after the client has cancelled the request
 }
 
@@ -85,7 +86,8 @@
 func (d *Dispatcher) Submit(query core.Query, client Client, onID func(core.RequestID)) {
 	query.Remaining = coreTimeBudget(query.Remaining, d.Loop.Lag())
 	id, actions := d.Core.Submit(d.Loop.Now(), query)
-	d.requests[id] = &request{client: client}
+	deadline := d.Loop.AfterWithPriority(query.Remaining, func() { d.execute(d.Core.DeadlinePassed(d.Loop.Now(), id), nil) })
+	d.requests[id] = &request{client: client, deadline: deadline}
 	onID(id)
 	d.execute(actions, nil)
 }
@@ -93,7 +95,7 @@
 // Cancel cancels a request whose client no longer waits for a reply.
 func (d *Dispatcher) Cancel(id core.RequestID) {
 	if r := d.requests[id]; r != nil {
-		r.replied = true
+		r.setReplied()
 		d.execute(d.Core.Cancel(d.Loop.Now(), id), nil)
 		d.removeIfDone(id, r)
 	}
@@ -229,7 +231,7 @@
 			}
 		case core.Reply:
 			if r := d.requests[a.ID]; r != nil {
-				r.replied = true
+				r.setReplied()
 				r.client.Reply(a, result)
 				d.removeIfDone(a.ID, r)
 			}
@@ -253,6 +255,12 @@
 	})
 }
 
+// setReplied records that the request has its reply, or that its client does not wait for one.
+func (r *request) setReplied() {
+	r.replied = true
+	r.deadline.Stop()
+}
+
 // removeIfDone removes a request that has been replied to and has no attempt in flight.
 func (d *Dispatcher) removeIfDone(id core.RequestID, r *request) {
 	if r.replied && r.attempt == nil {
--- a/internal/transport/eventloop/loop.go
+++ b/internal/transport/eventloop/loop.go
@@ -14,6 +14,7 @@
 // Loop calls the functions that are posted to it, one at a time, on the goroutine that calls Run.
 type Loop struct {
 	queue       chan func()
+	urgent      chan func()   // expired timers of AfterWithPriority, called before those in queue
 	done        chan struct{} // closed when Run returns
 	start       time.Time
 	base        time.Duration // start as the time since the Unix epoch
@@ -27,6 +28,7 @@
 func New(start time.Time, writeBudget int64) *Loop {
 	return &Loop{
 		queue:       make(chan func(), queueLength),
+		urgent:      make(chan func(), queueLength),
 		done:        make(chan struct{}),
 		start:       start,
 		base:        time.Duration(start.UnixNano()),
@@ -58,20 +60,38 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	for {
-		select {
-		case f := <-l.queue:
-			f()
-		case <-ctx.Done():
+		f := l.next(ctx.Done())
+		if f == nil {
 			return
 		}
+		f()
+	}
+}
+
+// next waits for the next function to call. It returns nil if done is closed and nothing urgent is queued.
+func (l *Loop) next(done <-chan struct{}) func() {
+	select {
+	case f := <-l.urgent:
+		return f
+	default:
+	}
+	select {
+	case f := <-l.urgent:
+		return f
+	case f := <-l.queue:
+		return f
+	case <-done:
+		return nil
 	}
 }
 
 // Post queues a function for the loop. It blocks while the queue is full, so it must not be called on the loop itself. After Run has
 // returned, the function is dropped.
-func (l *Loop) Post(f func()) {
+func (l *Loop) Post(f func()) { l.postTo(l.queue, f) }
+
+func (l *Loop) postTo(queue chan<- func(), f func()) {
 	select {
-	case l.queue <- f:
+	case queue <- f:
 	case <-l.done:
 	}
 }
@@ -93,11 +113,17 @@
 	}
 }
 
-// After calls f on the loop once d has elapsed. It may be called on any goroutine.
-func (l *Loop) After(d time.Duration, f func()) *Timer {
+// After calls f on the loop once d has elapsed, and after the functions that are queued by then. It may be called on any goroutine.
+func (l *Loop) After(d time.Duration, f func()) *Timer { return l.after(l.queue, d, f) }
+
+// AfterWithPriority calls f on the loop once d has elapsed, before all queued functions. It is meant for deadlines, which must be kept even
+// if the loop is behind. Received bytes that are queued for the loop have not been handled when f is called. It may be called on any goroutine.
+func (l *Loop) AfterWithPriority(d time.Duration, f func()) *Timer { return l.after(l.urgent, d, f) }
+
+func (l *Loop) after(queue chan<- func(), d time.Duration, f func()) *Timer {
 	t := &Timer{}
 	t.timer = time.AfterFunc(d, func() {
-		l.Post(func() {
+		l.postTo(queue, func() {
 			if !t.stopped {
 				t.stopped = true
 				f()
@@ -107,7 +133,7 @@
 	return t
 }
 
-// Timer is a function call scheduled by After.
+// Timer is a function call scheduled by After or AfterWithPriority.
 type Timer struct {
 	timer   *time.Timer
 	stopped bool // also set when the function is called
@@ -122,11 +148,11 @@
 }
 
 // Queued returns how many functions are queued. It may be called on any goroutine.
-func (l *Loop) Queued() int { return len(l.queue) }
+func (l *Loop) Queued() int { return len(l.urgent) + len(l.queue) }
 
-// RunNext calls the first queued function, and waits for one if the queue is empty. Tests that block the loop use it to force an order
-// of events.
-func (l *Loop) RunNext() { (<-l.queue)() }
+// RunNext calls the function that is next, and waits for one if none is queued. Tests that block the loop use it to force an order of
+// events.
+func (l *Loop) RunNext() { l.next(nil)() }
 
 // SetWriteBudget sets the number of bytes that all connections together may queue.
 func (l *Loop) SetWriteBudget(bytes int64) { l.writeBudget = bytes }
--- a/internal/transport/eventloop/loop_test.go
+++ b/internal/transport/eventloop/loop_test.go
@@ -1,10 +1,34 @@
 package eventloop
 
 import (
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 )
 
+// A timer with priority is called before the functions that were queued when it expired. It guards against deadlines that are missed
+// because the loop handles its whole queue first.
+func TestAfterWithPriorityPrecedesQueuedFunctions(t *testing.T) {
+	loop := startLoop(t)
+	var order []string
+	record := func(name string) func() { return func() { order = append(order, name) } }
+	loop.Do(func() {
+		go loop.Post(record("queued"))
+		for loop.Queued() < 1 {
+			runtime.Gosched()
+		}
+		loop.AfterWithPriority(0, record("urgent"))
+		for loop.Queued() < 2 {
+			runtime.Gosched()
+		}
+	})
+	loop.Do(func() {})
+	if !slices.Equal(order, []string{"urgent", "queued"}) {
+		t.Errorf("functions were called in the order %v, want the urgent one first", order)
+	}
+}
+
 // Lag reports the delay of a timer that expired while the loop was blocked.
 func TestLagReportsTimerDelay(t *testing.T) {
 	loop := startLoop(t)
--- a/internal/transport/frontend/client_races_test.go
+++ b/internal/transport/frontend/client_races_test.go
@@ -155,6 +155,34 @@
 	expectEOF(t, in)
 }
 
+// A request is rejected at its deadline although functions are queued on the loop that take until after the deadline. It guards against
+// rejections that wait behind all queued work, and reach the client too late.
+func TestRequestIsRejectedAtDeadlineWhileLoopIsBehind(t *testing.T) {
+	const slowFunctions, slowFunction = 10, 100 * time.Millisecond
+	e := nettest.NewEngine(t, "e")
+	f := newFixture(t, 4, e)
+	nc, c := f.connect()
+	nettest.Send(t, nc, strings.Replace(queryLine(11, idempotentClass), `"budget":20000`, `"budget":400`, 1))
+	e.Accept().ReadRequest()
+	done := make(chan struct{})
+	f.loop.Do(func() {
+		go func() {
+			for range slowFunctions {
+				f.loop.Post(func() { waitOut(t, f.loop, slowFunction) })
+			}
+			f.loop.Post(func() {
+				if open := len(c.requests); open != 0 {
+					t.Errorf("%d requests are open %v after a budget of 400 ms began, want none", open, slowFunctions*slowFunction)
+				}
+				close(done)
+			})
+		}()
+		f.waitQueued(slowFunctions + 1)
+	})
+	<-done
+	expectLine(t, bufio.NewReader(nc), `"id":11,"error"`)
+}
+
 // The connection of a client that does not close its side is closed after the linger timeout, which frees its descriptor.
 func TestLingerTimeoutClosesConnection(t *testing.T) {
 	f := newFixture(t, 4)
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -71,6 +71,14 @@
 	g.finishRequest(r)
 }
 
+// handleDeadlinePassed gives a request that has run out of time its final answer.
+func (g *Gateway) handleDeadlinePassed(event DeadlinePassed) {
+	r := g.requests[event.ID]
+	if r != nil && !r.done && !r.streaming {
+		g.rejectOrFail(r)
+	}
+}
+
 // handleResponseStarted marks a request as streaming. This gateway neither cancels nor finishes a streaming request.
 func (g *Gateway) handleResponseStarted(event ResponseStarted) {
 	if r := g.requests[event.ID]; r != nil {
--- a/policy/admission_test.go
+++ b/policy/admission_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -29,6 +30,24 @@
 	}
 }
 
+// Checks that DeadlinePassed finishes a queued request exactly once, and leaves one that is streaming alone. Without the
+// event, a request would stay open for as long as the review is late.
+func TestDeadlinePassedFinishesOpenRequest(t *testing.T) {
+	g := newTestGateway(t, 1, nil)
+	g.Handle(g.now, Arrival{ID: 5, Remaining: 4 * time.Second})
+	g.Handle(g.now, Arrival{ID: 6, Remaining: 4 * time.Second})
+	g.Handle(g.now, ResponseStarted{ID: 6})
+	later := g.now + 4*time.Second
+	if actions := g.Handle(later, DeadlinePassed{5}); !slices.Contains(actions, Action(Reject{5, time.Second})) {
+		t.Errorf("actions %v, want a rejection", actions)
+	}
+	for _, id := range []RequestID{5, 6, 99} {
+		if actions := g.Handle(later, DeadlinePassed{id}); len(actions) != 0 {
+			t.Errorf("request %d: actions %v, want none", id, actions)
+		}
+	}
+}
+
 // Checks that two data loads of one table group are never sent to the same engine, where the second would block.
 func TestEligibleSeparatesDataLoadsOfOneTableGroup(t *testing.T) {
 	g := newTestGateway(t, 2, func(s *Settings) { s.Classes[0].IsDataLoad = true })
--- a/policy/events.go
+++ b/policy/events.go
@@ -133,6 +133,10 @@
 	Attempt int
 }
 
+// DeadlinePassed reports that an open request has reached its deadline. It gets its final answer unless it is
+// streaming. The review finishes requests a little earlier, so the host sends this event only if the review is late.
+type DeadlinePassed struct{ ID RequestID }
+
 // TimerFired reports that a timer set with SetTimer has fired.
 type TimerFired struct{ Token uint64 }
 
@@ -165,6 +169,7 @@
 func (ProbeEnded) event()        {}
 func (Progress) event()          {}
 func (ResponseOverdue) event()   {}
+func (DeadlinePassed) event()    {}
 func (TimerFired) event()        {}
 func (GatewaysInService) event() {}
 func (PeerReports) event()       {}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -178,6 +178,8 @@
 		g.handlePeerReports(e)
 	case ShuttingDown:
 		g.handleShuttingDown()
+	case DeadlinePassed:
+		g.handleDeadlinePassed(e)
 	case TimerFired:
 		if e.Token == reviewTimerToken {
 			g.review()
