program: a shutdown begins before queued work, its steps count from SIGTERM

Callers had no answer when the platform killed a gateway that was behind, to requests sent within 0.7 s of SIGTERM. Cause: the shutdown was started by a function at the end of the loop's queue and timed from there, and a reload in progress delayed it further; the platform counts from SIGTERM.

The time is taken when the signal is received, the shutdown begins before all queued functions (DoWithPriority), the steps count from the signal, and reloads run on a goroutine of their own.

--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -48,9 +48,11 @@
 	}
 	log.Info("serving", "name", s.conf.Name, "listen", s.conf.Listen, "discovery", s.conf.DiscoveryAddr,
 		"events", len(p.initialEvents), "engines", engines)
-	p.reloadUntil(ctx, hup, s.conf)
+	go p.reloadUntil(ctx, hup, s.conf) // a reload waits for the loop, and must not delay a shutdown
+	<-ctx.Done()
+	began := p.loop.Now()
 	overdue := time.NewTimer(p.shutdownDeadline + closeGrace + peerCloseGrace + hangGrace)
-	go p.loop.Do(p.gracefulShutdown)
+	go p.loop.DoWithPriority(func() { p.gracefulShutdown(began) })
 	if waitForShutdown(loopCtx, overdue.C, log) {
 		log.Info("stopped", "counts", p.dispatcher.Core.Counts(), "invariants", p.invariants.Violations())
 	}
--- a/internal/program/stop.go
+++ b/internal/program/stop.go
@@ -51,10 +51,10 @@
 	}
 }
 
-// gracefulShutdown starts the shutdown. It announces the shutdown at once, and schedules the next steps: connections and
-// requests are accepted for acceptDuration, each accepted request gets its reply, and connections are closed in an order that
-// loses no received data.
-func (p *program) gracefulShutdown() {
+// gracefulShutdown starts the shutdown that began at the given time of the loop. It announces the shutdown at once, and
+// schedules the next steps: connections and requests are accepted for acceptDuration, each accepted request gets its reply, and
+// connections are closed in an order that loses no received data.
+func (p *program) gracefulShutdown(began time.Duration) {
 	p.log.Info("stopping", "open", p.dispatcher.Core.PendingRequests(), "out", p.dispatcher.Core.AttemptsInFlight())
 	p.platform.Drain()
 	if p.reporter != nil {
@@ -66,10 +66,13 @@
 	if p.vrrp != nil {
 		p.vrrp.Stop() // stop at once, so that the next master takes over the address
 	}
-	p.loop.After(acceptDuration, p.stopAccepting)
-	p.loop.AfterWithPriority(p.shutdownDeadline+replyGrace, p.dispatcher.Close)
-	p.loop.AfterWithPriority(p.shutdownDeadline+closeGrace, p.closeConnections)
-	p.loop.AfterWithPriority(p.shutdownDeadline+closeGrace+peerCloseGrace, p.exit)
+	at := func(sinceBegan time.Duration, step func()) {
+		p.loop.AfterWithPriority(began+sinceBegan-p.loop.Now(), step)
+	}
+	at(acceptDuration, p.stopAccepting)
+	at(p.shutdownDeadline+replyGrace, p.dispatcher.Close)
+	at(p.shutdownDeadline+closeGrace, p.closeConnections)
+	at(p.shutdownDeadline+closeGrace+peerCloseGrace, p.exit)
 }
 
 // stopAccepting closes the listeners. Afterwards, each connection is closed with its last response or once it is idle for
--- a/internal/transport/eventloop/loop.go
+++ b/internal/transport/eventloop/loop.go
@@ -14,7 +14,7 @@
 // Loop calls the functions that are posted to it, one at a time, on the goroutine that calls Run.
 type Loop struct {
 	queue       chan func()
-	urgent      chan func()   // expired timers of AfterWithPriority, called before those in queue
+	urgent      chan func()   // functions that are called before those in queue
 	done        chan struct{} // closed when Run returns
 	start       time.Time
 	base        time.Duration // start as the time since the Unix epoch
@@ -97,14 +97,20 @@
 }
 
 // Do calls a function on the loop and waits until it has returned. It must not be called on the loop itself.
-func (l *Loop) Do(f func()) {
+func (l *Loop) Do(f func()) { l.doOn(l.queue, f) }
+
+// DoWithPriority calls a function on the loop before all queued functions, and waits until it has returned. It must not be called on the
+// loop itself.
+func (l *Loop) DoWithPriority(f func()) { l.doOn(l.urgent, f) }
+
+func (l *Loop) doOn(queue chan<- func(), f func()) {
 	done := make(chan struct{}, 1)
-	l.postAndWait(func() { f(); done <- struct{}{} }, done)
+	l.postAndWait(queue, func() { f(); done <- struct{}{} }, done)
 }
 
-// postAndWait posts a function that sends on done when it is finished, and waits for that. It returns false if Run has returned.
-func (l *Loop) postAndWait(f func(), done <-chan struct{}) bool {
-	l.Post(f)
+// postAndWait queues a function that sends on done when it is finished, and waits for that. It returns false if Run has returned.
+func (l *Loop) postAndWait(queue chan<- func(), f func(), done <-chan struct{}) bool {
+	l.postTo(queue, f)
 	select {
 	case <-done:
 		return true
--- a/internal/transport/eventloop/read.go
+++ b/internal/transport/eventloop/read.go
@@ -18,7 +18,7 @@
 	}
 	for {
 		buffered, err := c.receive(buf)
-		if buffered && !c.loop.postAndWait(deliver, handled) {
+		if buffered && !c.loop.postAndWait(c.loop.queue, deliver, handled) {
 			return
 		}
 		if err != nil {
