--- a/internal/transport/frontend/acceptor.go
+++ b/internal/transport/frontend/acceptor.go
@@ -20,7 +20,7 @@
 )
 
 // acceptor accepts the connections of a listener and passes them to the loop. A goroutine waits for the first one. The loop itself accepts
-// those that are queued behind it, so that they do not wait for the loop's queue one after the other. Each connection is handled before
+// those that are queued behind it. Neither waits for what is queued on the loop: the age of a request is not known before it is read. Each connection is handled before
 // the next one is accepted, since one that has not been handled yet holds a descriptor that no budget accounts for.
 type acceptor struct {
 	loop     *eventloop.Loop
@@ -74,7 +74,7 @@
 	nc, err := a.ln.Accept()
 	switch {
 	case err == nil:
-		a.loop.Do(func() {
+		a.loop.DoWithPriority(func() {
 			a.handle(nc)
 			_, _ = a.handleQueued() // after an error the next Accept returns an error too
 		})
@@ -89,7 +89,7 @@
 // acceptQueued accepts queued connections without waiting for further ones. It reports whether some are left.
 func (a *acceptor) acceptQueued() (more bool) {
 	var err error
-	a.loop.Do(func() { more, err = a.handleQueued() })
+	a.loop.DoWithPriority(func() { more, err = a.handleQueued() })
 	if more && err != nil {
 		a.backOff(err)
 	}
