frontend: a check for idle connections reads those of 16 connections at most

Callers got rejections 0.3 s late, all at one instant, from a gateway that shut down while it was behind. Cause: connections whose requests have not been read look idle; the check handles unread bytes first, so one function read and decided on hundreds of requests while other deadlines passed.

A check now handles the unread bytes of 16 connections, and skips connections with open requests, which it cannot close anyway.

The new test failed before (33 requests read in one call).

--- a/internal/transport/frontend/listener.go
+++ b/internal/transport/frontend/listener.go
@@ -6,8 +6,8 @@
 type closableConn interface {
 	comparable
 	// shutdownIfIdle closes the connection gracefully if it has been idle for at least minIdle, unless a request is open or has been
-	// received in part.
-	shutdownIfIdle(minIdle time.Duration)
+	// received in part. It reports whether it handled received bytes instead.
+	shutdownIfIdle(minIdle time.Duration) (handledBytes bool)
 	// shutdown closes the connection gracefully.
 	shutdown()
 }
@@ -30,11 +30,21 @@
 	s.lingering.checkEmpty()
 }
 
+// maxUnreadPerCheck is the number of connections whose received bytes a CloseIdle handles at most. If the loop is behind, many connections
+// look idle because their requests have not been read, and handling all of these at once would delay the deadlines of other requests.
+const maxUnreadPerCheck = 16
+
 // CloseIdle gracefully closes the connections that have been idle for at least minIdle and on which no request is open or being received.
-// It reports whether no connection is left open.
+// It reports whether no connection is left open. If many connections have unread bytes, some idle ones are left for the next call.
 func (s *connSet[C]) CloseIdle(minIdle time.Duration) bool {
+	unread := 0
 	for c := range s.open {
-		c.shutdownIfIdle(minIdle)
+		if c.shutdownIfIdle(minIdle) {
+			unread++
+		}
+		if unread == maxUnreadPerCheck {
+			return false
+		}
 	}
 	return len(s.open) == 0
 }
--- a/internal/transport/frontend/listener_races_test.go
+++ b/internal/transport/frontend/listener_races_test.go
@@ -137,6 +137,27 @@
 	expectLine(t, bufio.NewReader(nc), `"id":11,"result"`)
 }
 
+// CloseIdle handles the unread requests of a limited number of connections, and the others in further calls. It guards against a loop that
+// reads hundreds of requests in one turn at the end of a shutdown, while the deadlines of other requests pass.
+func TestCloseIdleLimitsUnreadRequests(t *testing.T) {
+	const conns = 2*maxUnreadPerCheck + 1
+	f := newFixture(t, 4)
+	for i := range conns {
+		nc, _ := f.connectPaused()
+		nettest.Send(t, nc, queryLine(i+1, idempotentClass))
+	}
+	f.loop.Do(func() {
+		for calls := 1; f.dispatcher.Core.Counts().Taken < conns; calls++ {
+			if f.CloseIdle(0) {
+				t.Fatal("all connections are closed, although requests are open")
+			}
+			if taken := f.dispatcher.Core.Counts().Taken; taken > calls*maxUnreadPerCheck || calls > conns {
+				t.Fatalf("%d requests were read after %d calls of CloseIdle, want at most %d in a call", taken, calls, maxUnreadPerCheck)
+			}
+		}
+	})
+}
+
 // CloseIdle handles unread bytes of a MySQL client first, and closes the connection only if there are none.
 func TestMySQLCloseIdleHandlesUnreadBytes(t *testing.T) {
 	l, nc := connectMySQL(t)
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -54,11 +54,16 @@
 }
 
 // shutdownIfIdle implements closableConn.
-func (c *mysqlClient) shutdownIfIdle(minIdle time.Duration) {
+func (c *mysqlClient) shutdownIfIdle(minIdle time.Duration) (handledBytes bool) {
 	idle := c.listener.dispatcher.Loop.Now()-c.idleSince >= minIdle
-	if idle && c.conn.DeliverPending() && !c.machine.QueryRunning() {
-		c.close()
+	if !idle || c.machine.QueryRunning() {
+		return false
+	}
+	if !c.conn.DeliverPending() {
+		return true
 	}
+	c.close()
+	return false
 }
 
 // shutdown implements closableConn. It handles pending commands first: they must get a response, which the dispatcher gives immediately
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -144,10 +144,11 @@
 }
 
 // shutdownIfIdle implements closableConn. A connection with an incomplete line is kept, since the rest of the line may follow.
-func (c *client) shutdownIfIdle(minIdle time.Duration) {
-	if c.incompleteBytes == 0 && c.listener.dispatcher.Loop.Now()-c.idleSince >= minIdle {
-		c.closeIfIdle("stopped")
+func (c *client) shutdownIfIdle(minIdle time.Duration) (handledBytes bool) {
+	if c.incompleteBytes > 0 || len(c.requests) > 0 || c.listener.dispatcher.Loop.Now()-c.idleSince < minIdle {
+		return false
 	}
+	return !c.closeIfIdle("stopped")
 }
 
 // shutdown implements closableConn. It handles pending requests first: they must get a response, which the dispatcher gives immediately
