--- a/internal/transport/frontend/acceptor.go
+++ b/internal/transport/frontend/acceptor.go
@@ -20,8 +20,9 @@
 )
 
 // acceptor accepts the connections of a listener and passes them to the loop. A goroutine waits for the first one. The loop itself accepts
-// those that are queued behind it. Neither waits for what is queued on the loop: the age of a request is not known before it is read. Each connection is handled before
-// the next one is accepted, since one that has not been handled yet holds a descriptor that no budget accounts for.
+// those that are queued behind it. Neither waits for what is queued on the loop, since the age of a request is not known before it is read.
+// Each connection is handled before the next one is accepted: one that has not been handled yet holds a descriptor that no budget accounts
+// for.
 type acceptor struct {
 	loop     *eventloop.Loop
 	log      *slog.Logger
