policy: errors of non-idempotent queries count where other engines rarely fail

Callers of classes that must not run twice kept getting errors from an engine that fails most of its queries: it was never ejected, answered within milliseconds, looked idle and got more than its share. Cause: an error counts only when another engine has served the same query, and these queries are never retried.

--- a/policy/affinity.go
+++ b/policy/affinity.go
@@ -40,6 +40,7 @@
 	setCores      float64                    // sum of the cores of the set
 	overloaded    bool                       // result of the latest overload test
 	recentThreads decayingSum                // threads of recent sends
+	answers       []groupAnswers             // recent answers to queries that are not idempotent, by engine
 }
 
 // tableGroup returns the state of a table group and creates it if necessary.
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -123,10 +123,12 @@
 		g.updateEstimates(a, event)
 		g.recordSuccess(e)
 		g.recordConfirmedErrors(a.request)
+		g.compareAnswer(a, false)
 	case NoConnection:
 		g.recordFailure(e, unreachableStep)
 	case Error:
 		a.unconfirmedError = true
+		g.compareAnswer(a, true)
 	case Reset:
 		g.recordFailure(e, failureStep)
 	case Rejected:
--- a/policy/engines.go
+++ b/policy/engines.go
@@ -45,6 +45,8 @@
 	lastResponseAt    time.Duration
 	probeInFlight     bool
 	nextProbeAt       time.Duration
+	classAnswers      []answerCounts  // recent answers by class, for classes that are not idempotent
+	comparison        errorComparison // of the errors among these answers with other engines
 
 	// Rejections and slow start.
 	rejectingUntil   time.Duration // time until which nothing is sent to the engine
@@ -98,7 +100,8 @@
 }
 
 func (g *Gateway) addEngine(id EngineID) *engine {
-	e := &engine{targetFactor: 1, classRateLimits: make([]rateLimit, len(g.classes))}
+	e := &engine{targetFactor: 1, classRateLimits: make([]rateLimit, len(g.classes)),
+		classAnswers: make([]answerCounts, len(g.classes))}
 	e.ID = id
 	g.engineByID[id] = e
 	g.engines = append(g.engines, e)
@@ -110,6 +113,7 @@
 func (g *Gateway) resetEngine(e *engine) {
 	e.failureScore, e.ejected, e.halfOpenRemaining, e.ejectionTime, e.probeInFlight = 0, false, 0, 0, false
 	e.reportedPeerThreads, e.reportedAt = 0, g.now
+	e.comparison = errorComparison{}
 	clear(e.classRateLimits)
 }
 
--- a/policy/estimates.go
+++ b/policy/estimates.go
@@ -61,23 +61,26 @@
 // class is the state that this gateway keeps for a class of queries.
 type class struct {
 	Class
+	index             int // index in Settings.Classes
 	threads           float64
-	answers           int     // successful answers so far
-	meanSeconds       float64 // mean duration of an attempt
-	meanWork          float64 // mean work of a query, in thread-seconds
-	workCorrection    float64 // actual work / estimated work (or the prior without an estimate)
-	slowdown          float64 // duration / work per thread
-	tailRatio         float64 // 99th percentile of the duration / expected duration
-	memoryLogRatio    float64 // mean of log(used memory / estimated memory)
-	memoryLogVariance float64 // variance of log(used memory / estimated memory)
+	answers           int          // successful answers so far
+	meanSeconds       float64      // mean duration of an attempt
+	meanWork          float64      // mean work of a query, in thread-seconds
+	workCorrection    float64      // actual work / estimated work (or the prior without an estimate)
+	slowdown          float64      // duration / work per thread
+	tailRatio         float64      // 99th percentile of the duration / expected duration
+	memoryLogRatio    float64      // mean of log(used memory / estimated memory)
+	memoryLogVariance float64      // variance of log(used memory / estimated memory)
+	unsafeAnswers     answerCounts // answers of all engines, counted only if the class is not idempotent
 }
 
 // newClass creates the state of a class, with the prior estimates.
-func newClass(c Class) *class {
+func newClass(index int, c Class) *class {
 	threads := max(1, float64(c.Threads))
 	seconds := priorWorkShare * c.LatencyObjective.Seconds()
 	return &class{
 		Class:             c,
+		index:             index,
 		threads:           threads,
 		meanSeconds:       seconds,
 		meanWork:          seconds * threads,
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -106,8 +106,8 @@
 		threadsPerQuery:   1,
 		loadUncertainty:   1 - 1/math.Sqrt(float64(settings.Gateways)),
 	}
-	for _, c := range settings.Classes {
-		g.classes = append(g.classes, newClass(c))
+	for i, c := range settings.Classes {
+		g.classes = append(g.classes, newClass(i, c))
 	}
 	g.threadsPerQuery = g.estimateThreadsPerQuery()
 	return g, nil
