emulator: checks of the model's memory and warm-up that can fail

TestModelQueryDurationDependsOnLoad gave a query more memory than the engine has. The model rejects such a query, and the test took that for an endless duration, so the check passed whatever the model did; the check of an engine that is warming up likewise, since eight queries of 5 s made it collapse.

Memory: two queries of 3/4 of the engine's memory each must take twice as long, and a query that needs more than all of it must be rejected. Warm-up: the others have 3 s of work, too little to collapse; the bound is the same.

--- a/internal/testbed/emulator/emulator_test.go
+++ b/internal/testbed/emulator/emulator_test.go
@@ -14,10 +14,11 @@
 
 // queryDuration returns how long a query takes on an engine that already runs other queries.
 func queryDuration(m *Model, q Query, others ...Query) time.Duration {
-	for _, o := range others {
-		m.Start(o)
+	for _, started := range append(others, q) {
+		if !m.Start(started) {
+			panic(fmt.Sprintf("the model rejected query %+v", started))
+		}
 	}
-	m.Start(q)
 	began := m.now
 	for {
 		at, changes := m.NextChange()
@@ -40,21 +41,27 @@
 	if d := plain - time.Second; d < 0 || d > time.Millisecond {
 		t.Fatalf("on an idle engine the query takes %v, want 1s", plain)
 	}
-	others, heavy := []Query{}, q
-	for i := range 30 {
-		others = append(others, Query{ID: fmt.Sprint(i), Work: 5, Threads: 1, IO: 0.3, Group: 2})
+	others := []Query{}
+	for i := range 30 { // with 3 s of work each, eight of them do not make an engine collapse that is warming up
+		others = append(others, Query{ID: fmt.Sprint(i), Work: 3, Threads: 1, IO: 0.3, Group: 2})
 	}
-	heavy.MemoryMB = 40_000
 	if elapsed := queryDuration(newTestModel(false), q, others...); elapsed < 3*plain {
 		t.Errorf("with 30 concurrent queries on 8 cores the query takes %v, want at least 3 times %v", elapsed, plain)
 	}
 	if elapsed := queryDuration(newTestModel(true), q, others[:8]...); elapsed < 3*plain/2 {
 		t.Errorf("with 8 concurrent queries on an engine that is warming up, the query takes %v, want at least 1.5 times %v", elapsed, plain)
 	}
-	if elapsed := queryDuration(newTestModel(false), heavy); elapsed < 2*plain {
-		t.Errorf("with more memory than the engine has, the query takes %v, want at least twice %v", elapsed, plain)
-	}
 	m := newTestModel(false)
+	heavy, otherHeavy := q, others[0]
+	heavy.MemoryMB, otherHeavy.MemoryMB = m.spec.MemoryMB*3/4, m.spec.MemoryMB*3/4
+	if elapsed := queryDuration(m, heavy, otherHeavy); elapsed < 2*plain {
+		t.Errorf("with two queries that need 1.5 times the engine's memory, one takes %v, want at least twice %v", elapsed, plain)
+	}
+	heavy.MemoryMB = m.spec.MemoryMB + 1
+	if newTestModel(false).Start(heavy) {
+		t.Error("the model accepted a query that needs more memory than the engine has")
+	}
+	m = newTestModel(false)
 	m.Start(Query{ID: "w", Work: 0.1, Threads: 1, IO: 0.3, Group: 1})
 	if elapsed := queryDuration(m, q); elapsed > plain*9/10 {
 		t.Errorf("with its table group cached the query takes %v, want at most 0.9 times %v", elapsed, plain)
