core: remove the query field that no listener sets

core.Query.IdempotencyKey was passed on as the module's ordering key and set by no listener. The platform's protocol has no ordering key: a client's `token` is the same for all tries of one request, and is passed to engines unchanged, which the listeners do. If it had been set from the token, queries of an ordered class would have waited for their own client's earlier tries.

One test set the field, of a class that is not ordered, where it has no effect; its checks are unchanged. go test ./internal/core passes.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -263,7 +263,7 @@
 	for delay, want := range map[time.Duration]bool{0: true, 10 * time.Millisecond: true, time.Second: false} {
 		c, _ := newCore(t)
 		c.UpdateEngines(startTime, true, []ListedEngine{listedEngine("a", policy.Ready), listedEngine("b", policy.Ready)})
-		id, actions := c.Submit(startTime, Query{Class: 1, IdempotencyKey: 7, Remaining: 20 * time.Second})
+		id, actions := c.Submit(startTime, Query{Class: 1, Remaining: 20 * time.Second})
 		s := firstAction[StartAttempt](t, actions)
 		if _, ok := c.MaySend(startTime, id, s.Attempt, false); !ok {
 			t.Fatal("the first attempt was denied")
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -29,7 +29,6 @@
 	Name              string // identifies the query at engines; empty = none. Must be unique among active requests.
 	Class             int
 	TableGroup        int           // 0 = none
-	IdempotencyKey    uint64        // 0 = none
 	EstimatedWork     time.Duration // 0 = unknown
 	EstimatedMemoryMB float64       // 0 = unknown
 	Remaining         time.Duration // time until the client's deadline
@@ -72,7 +71,7 @@
 		return id, c.replyDirectly(now, id, Rejected, c.host.MaxRetryAfter)
 	}
 	return id, c.dispatch(now, policy.Arrival{
-		ID: id, Class: q.Class, OrderingKey: q.IdempotencyKey, TableGroup: q.TableGroup, EstimatedWork: q.EstimatedWork,
+		ID: id, Class: q.Class, TableGroup: q.TableGroup, EstimatedWork: q.EstimatedWork,
 		EstimatedMemoryMB: q.EstimatedMemoryMB, Remaining: q.Remaining, IsClientRetry: q.IsClientRetry,
 	})
 }
