dispatcher: a response that has arrived is handled before expired timers

Callers got "no answer in time" for a query that its engine had answered, if the process stood still or the loop was behind when the response came. Cause: the timers of an attempt, its time-out and its request's deadline acted on what had been handled, not on what had arrived; after a pause both are due at once, in any order. A query that must not run twice then failed though it ran.

What an attempt's connections have received is now handled first, and the timer acts only if it is still set. MySQL's login time-out reads first too.

--- a/internal/transport/dispatcher/attempt.go
+++ b/internal/transport/dispatcher/attempt.go
@@ -23,6 +23,8 @@
 	relay      func([]byte)
 	channels   [2]*channel // indexed by attempt.Channel; nil if not in use
 	timers     map[attempt.Timer]*eventloop.Timer
+	paused     bool // the response is not read
+	ended      bool
 }
 
 // channel is a connection of an attempt, or a pending request for one.
@@ -52,10 +54,25 @@
 }
 
 // Pause stops reading the response until Resume is called.
-func (a *AttemptDriver) Pause() { a.onPrimary((*eventloop.Conn).Pause) }
+func (a *AttemptDriver) Pause() {
+	a.paused = true
+	a.onPrimary((*eventloop.Conn).Pause)
+}
 
 // Resume resumes reading the response.
-func (a *AttemptDriver) Resume() { a.onPrimary((*eventloop.Conn).Resume) }
+func (a *AttemptDriver) Resume() {
+	a.paused = false
+	a.onPrimary((*eventloop.Conn).Resume)
+}
+
+// ReadPending implements Attempt. It reads nothing while the response is paused.
+func (a *AttemptDriver) ReadPending() {
+	for _, c := range a.channels {
+		if c != nil && c.conn != nil && !a.paused {
+			c.conn.DeliverPending()
+		}
+	}
+}
 
 // onPrimary calls do with the connection of the primary channel, if there is one.
 func (a *AttemptDriver) onPrimary(do func(*eventloop.Conn)) {
@@ -95,13 +112,14 @@
 				a.relay(s.Bytes)
 			}
 		case attempt.End:
+			a.ended = true
 			a.dispatcher.AttemptEnded(id, number, s.Outcome, parseLoadReport(s.Report), s.Result)
 		}
 	}
 }
 
-// setTimer restarts or stops a timer. A response timeout is extended by twice the loop's lag, since a response that arrived while this
-// process was not scheduled has not been read yet.
+// setTimer restarts or stops a timer. A response timeout is extended by twice the loop's lag, since it also covers the time in which this
+// process was not scheduled. When a timer fires, what the engine has sent by then is handled first, and may restart or stop the timer.
 func (a *AttemptDriver) setTimer(s attempt.SetTimer) {
 	a.timers[s.Timer].Stop()
 	delete(a.timers, s.Timer)
@@ -112,7 +130,14 @@
 	if s.Timer == attempt.ResponseTimeout {
 		after += 2 * a.dispatcher.Loop.Lag()
 	}
-	a.timers[s.Timer] = a.dispatcher.Loop.After(after, func() { a.execute(a.machine.TimerFired(s.Timer)) })
+	var timer *eventloop.Timer
+	timer = a.dispatcher.Loop.After(after, func() {
+		a.ReadPending()
+		if !a.ended && a.timers[s.Timer] == timer {
+			a.execute(a.machine.TimerFired(s.Timer))
+		}
+	})
+	a.timers[s.Timer] = timer
 }
 
 func (a *AttemptDriver) openChannel(s attempt.Open) {
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -31,6 +31,8 @@
 type Attempt interface {
 	// Cancel cancels the attempt. The attempt ends with outcome as soon as it is no longer in flight.
 	Cancel(outcome policy.Outcome)
+	// ReadPending reads and handles all bytes that the engine has sent so far. They may end the attempt.
+	ReadPending()
 }
 
 // Dispatcher drives the core on the event loop.
@@ -86,12 +88,21 @@
 func (d *Dispatcher) Submit(query core.Query, client Client, onID func(core.RequestID)) {
 	query.Remaining = coreTimeBudget(query.Remaining, d.Loop.Lag())
 	id, actions := d.Core.Submit(d.Loop.Now(), query)
-	deadline := d.Loop.AfterWithPriority(query.Remaining, func() { d.execute(d.Core.DeadlinePassed(d.Loop.Now(), id), nil) })
+	deadline := d.Loop.AfterWithPriority(query.Remaining, func() { d.deadlinePassed(id) })
 	d.requests[id] = &request{client: client, deadline: deadline}
 	onID(id)
 	d.execute(actions, nil)
 }
 
+// deadlinePassed is called at the core's deadline for a request that has no reply. A response that has arrived is handled first, since it
+// may be in time for the client.
+func (d *Dispatcher) deadlinePassed(id core.RequestID) {
+	if r := d.requests[id]; r != nil && r.attempt != nil {
+		r.attempt.ReadPending()
+	}
+	d.execute(d.Core.DeadlinePassed(d.Loop.Now(), id), nil)
+}
+
 // Cancel cancels a request whose client no longer waits for a reply.
 func (d *Dispatcher) Cancel(id core.RequestID) {
 	if r := d.requests[id]; r != nil {
@@ -250,6 +261,9 @@
 	r.attempt = r.client.StartAttempt(start)
 	r.timeout = d.Loop.After(start.Timeout, func() {
 		if r.attempt != nil {
+			r.attempt.ReadPending()
+		}
+		if r.attempt != nil && r.attemptNumber == start.Attempt {
 			r.attempt.Cancel(policy.Timeout)
 		}
 	})
--- a/internal/transport/frontend/engine_races_test.go
+++ b/internal/transport/frontend/engine_races_test.go
@@ -183,3 +183,27 @@
 		}
 	})
 }
+
+// A response that has arrived is handled before a timer of its attempt that has expired. It guards against a process that was paused, takes a
+// response that it has not read for missing, and polls or cancels the query instead.
+func TestArrivedResponsePrecedesExpiredTimers(t *testing.T) {
+	const pause = 600 * time.Millisecond // longer than the response timeout of a query
+	for name, budget := range map[string]string{"response timeout": `"budget":20000`, "deadline": `"budget":600`} {
+		t.Run(name, func(t *testing.T) {
+			e := nettest.NewEngine(t, "e")
+			f := newFixture(t, 4, e)
+			nc, _ := f.connect()
+			nettest.Send(t, nc, strings.Replace(queryLine(11, nonIdempotentClass), `"budget":20000`, budget, 1))
+			engineConn := e.Accept()
+			engineConn.ReadRequest()
+			f.loop.Do(func() {
+				waitOut(t, f.loop, pause)
+				nettest.Send(t, engineConn.Conn, succeeded)
+			})
+			expectLine(t, bufio.NewReader(nc), `"id":11,"result"`)
+			if n := e.PendingConns(); n != 0 {
+				t.Errorf("%d further connections to the engine, want none", n)
+			}
+		})
+	}
+}
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -75,8 +75,10 @@
 	}
 }
 
+// loginTimedOut closes a connection whose client has not logged in in time.
 func (c *mysqlClient) loginTimedOut() {
-	if !c.machine.LoggedIn() {
+	c.conn.DeliverPending() // the pending bytes may complete the login
+	if c.conn.IsOpen() && !c.machine.LoggedIn() {
 		c.listener.log.Warn("mysql client did not log in, closing connection")
 		c.close()
 	}
