soak: starvation and suspension as stresses drawn from the seed

The other draws of a seed stay as they were.

What is allowed is computed from the suspension: an answer may come up to answerSlack after the end of a suspension that began before the deadline, and a request that is unanswered at the kill is not counted as lost if the gateway was resumed less than answerSlack before it. Busy processes excuse nothing.

--- a/cmd/fleettest/soak.go
+++ b/cmd/fleettest/soak.go
@@ -17,6 +17,7 @@
 	Seeds    string `default:"1-10" help:"Range of seeds, such as 1-50, or one seed."`
 	Gateways int    `default:"1" help:"Number of gateways in a run."`
 	Parallel int    `name:"together" default:"1" help:"Number of runs at the same time."`
+	Stress   bool   `help:"Take processor time away: busy processes, and a suspension around SIGTERM, both drawn from the seed."`
 	Out      string `default:"found/fleettest" help:"Directory for the table, and for the logs of runs with violations."`
 }
 
@@ -70,6 +71,9 @@
 		return soak.Result{}, err
 	}
 	scenario := soak.NewScenario(seed, c.Gateways)
+	if c.Stress {
+		scenario = scenario.WithStress()
+	}
 	result, err := soak.Run(scenario, soak.Options{Dir: dir, Command: []string{program}, Env: emulator.OwnerEnv()})
 	if err != nil {
 		return result, fmt.Errorf("seed %d: %w", seed, err)
@@ -82,6 +86,6 @@
 	for _, p := range problems {
 		fmt.Fprintln(os.Stderr, "  ", p)
 	}
-	fmt.Fprintf(os.Stderr, "   logs are in %s; repeat with: fleettest soak --seeds %d --gateways %d\n", dir, seed, c.Gateways)
+	fmt.Fprintf(os.Stderr, "   logs are in %s; repeat with: fleettest soak --seeds %d --gateways %d --stress=%t\n", dir, seed, c.Gateways, c.Stress)
 	return result, fmt.Errorf("seed %d: %w", seed, errSoakFailed)
 }
--- a/internal/testbed/soak/gateway.go
+++ b/internal/testbed/soak/gateway.go
@@ -19,6 +19,8 @@
 	mu           sync.Mutex
 	terminatedAt time.Duration // when SIGTERM was sent; 0 = not yet
 	killedAt     time.Duration // when SIGKILL was sent; 0 = not yet, or the process exited on its own
+	suspendedAt  time.Duration // when SIGSTOP was sent; 0 = not yet
+	resumedAt    time.Duration // when SIGCONT was sent; 0 = not yet
 }
 
 // terminated returns when SIGTERM was sent, and false if it has not been sent yet.
@@ -52,7 +54,7 @@
 func (g *gateway) unansweredOutcome(r *Request, received, partial bool) Outcome {
 	_, killed := g.killed()
 	switch {
-	case killed && g.dueBeforeKill(r.Sent):
+	case killed && g.dueBeforeKill(r.Sent) && !g.resumedTooLate():
 		return LostAtKill
 	case killed:
 		return CutByKill
--- a/internal/testbed/soak/mysqlclient.go
+++ b/internal/testbed/soak/mysqlclient.go
@@ -125,7 +125,7 @@
 	switch isAnswer := errors.As(err, &answer); {
 	case err != nil && !isAnswer:
 		return c.gateway.unansweredOutcome(r, c.engine.Received(r.ID), false)
-	case r.Latency > r.Budget+answerSlack:
+	case c.gateway.isLate(r):
 		return Late
 	case isAnswer && answer.Number == mysqlErrRejected:
 		return Rejected
--- a/internal/testbed/soak/platformconn.go
+++ b/internal/testbed/soak/platformconn.go
@@ -158,7 +158,7 @@
 // outcomeOf returns the outcome of a request that got this answer.
 func (p *platformConn) outcomeOf(r *Request, a platformAnswer) Outcome {
 	switch {
-	case p.client.gateway.clock()-r.Sent > r.Budget+answerSlack:
+	case p.client.gateway.isLate(r):
 		return Late
 	case a.Error != nil && a.Error.Code == codeRejected:
 		return Rejected
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -70,7 +70,12 @@
 	if err := r.startFleet(options); err != nil {
 		return result, err
 	}
+	busy, err := startBusyProcesses(s.Stress.BusyPerCore)
+	if err != nil {
+		return result, errors.Join(err, r.fleet.Close())
+	}
 	result = r.play()
+	busy.stop()
 	result.Alarms = r.fleet.Alarms()
 	return result, r.fleet.Close()
 }
@@ -122,7 +127,11 @@
 	defer disturbance.Stop()
 	exits := make([]Exit, len(r.gateways))
 	for i, g := range r.gateways {
-		stops.Add(1)
+		stops.Add(2)
+		go func() {
+			defer stops.Done()
+			g.suspend(r.scenario.Stress.Suspension)
+		}()
 		go func() {
 			defer stops.Done()
 			exits[i] = g.terminate(r.scenario.KillDelay())
--- a/internal/testbed/soak/scenario.go
+++ b/internal/testbed/soak/scenario.go
@@ -77,6 +77,7 @@
 	Stops            []Stop        // planned shutdowns, by gateway index
 	Disturbance      Disturbance
 	DisturbanceDelay time.Duration // time from the start of the clients until the fault is injected
+	Stress           Stress        // set by WithStress
 }
 
 // NewScenario generates the scenario of a seed with the given number of gateways.
@@ -120,8 +121,8 @@
 
 // String describes the scenario in one line.
 func (s Scenario) String() string {
-	return fmt.Sprintf("seed %d: %d JSON-RPC clients, %d MySQL clients, deadline %v, disturbance: %v", s.Seed, s.Clients, s.MySQLClients,
-		s.Deadline.Round(time.Millisecond), s.Disturbance)
+	return fmt.Sprintf("seed %d: %d JSON-RPC clients, %d MySQL clients, deadline %v, disturbance: %v, stress: %v", s.Seed, s.Clients,
+		s.MySQLClients, s.Deadline.Round(time.Millisecond), s.Disturbance, s.Stress)
 }
 
 // classes returns the default query classes with their timeouts capped at the scenario's deadline.
