eventloop, program: log what the loop did when it never waited for 2 s

A gateway was twice ended as a crash because it "did not wait for anything in 20 s", and nothing in its log could tell a loop that hangs from one that spins or one that has too much work.

A watch beside the loop compares two counters every 2 s; if the loop did not wait in between, it logs how many functions were called, how many of them urgent, and how many are queued. The loop's own cost is an atomic addition for a function and two for a wait.

No behavior of requests changes.

--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -39,6 +39,7 @@
 	defer exit()
 	p.exit = exit
 	go p.loop.Run(loopCtx)
+	go p.loop.Watch(watchWindow, p.logBusyLoop)
 	if hooks.LoopStarted != nil {
 		hooks.LoopStarted(p.loop)
 	}
--- a/internal/program/stats.go
+++ b/internal/program/stats.go
@@ -2,14 +2,25 @@
 
 import (
 	"fmt"
+	"runtime"
 	"time"
 
 	"frostpier/internal/control/rollout"
+	"frostpier/internal/transport/eventloop"
 )
 
 // statsInterval is the interval at which counts are logged.
 const statsInterval = 10 * time.Second
 
+// watchWindow is the time without a wait after which the event loop counts as busy.
+const watchWindow = 2 * time.Second
+
+// logBusyLoop logs what the event loop did in a window in which it never waited.
+func (p *program) logBusyLoop(a eventloop.Activity) {
+	p.log.Warn("event loop did not wait", "window", a.Window, "functions", a.Functions, "urgent", a.Urgent, "queued", a.Queued,
+		"goroutines", runtime.NumGoroutine())
+}
+
 // scheduleStats starts logging the counts every statsInterval.
 func (p *program) scheduleStats() {
 	p.loop.After(statsInterval, func() {
--- a/internal/transport/eventloop/loop.go
+++ b/internal/transport/eventloop/loop.go
@@ -21,6 +21,7 @@
 	queuedBytes atomic.Int64  // bytes to be written, over all connections
 	writeBudget int64         // bytes; if exceeded, a connection that queues more than guaranteedQueueBytes is closed
 	lag         time.Duration // largest recent delay of a timer, decaying over time
+	activity    activityCounters
 }
 
 // New returns a Loop whose connections together may queue writeBudget bytes. Its clock starts at the wall-clock time start and advances
@@ -64,23 +65,40 @@
 		if f == nil {
 			return
 		}
+		l.activity.functions.Add(1)
 		f()
 	}
 }
 
 // next waits for the next function to call. It returns nil if done is closed and nothing urgent is queued.
 func (l *Loop) next(done <-chan struct{}) func() {
+	if f := l.nextQueued(); f != nil {
+		return f
+	}
+	l.activity.waits.Add(1)
+	defer l.activity.waits.Add(1)
 	select {
 	case f := <-l.urgent:
 		return f
-	default:
+	case f := <-l.queue:
+		return f
+	case <-done:
+		return nil
 	}
+}
+
+// nextQueued returns the next function to call, or nil if none is queued.
+func (l *Loop) nextQueued() func() {
 	select {
 	case f := <-l.urgent:
+		l.activity.urgent.Add(1)
 		return f
+	default:
+	}
+	select {
 	case f := <-l.queue:
 		return f
-	case <-done:
+	default:
 		return nil
 	}
 }
