--- a/policy/affinity.go
+++ b/policy/affinity.go
@@ -99,9 +99,8 @@
 }
 
 // groupOverloaded is the AC overload test of section 2.2: it reports whether the load of the group per core of its
-// affinity set exceeds the mean load per core of the fleet. Departure from the paper: a group's load is its share of
-// the threads that this gateway sent recently, because one gateway of many has too few queries in flight to measure a
-// group.
+// affinity set exceeds the mean load per core of the fleet. Unlike in the paper, a group's load is its share of the
+// threads that this gateway sent recently: one gateway of many has too few queries in flight to measure a group.
 func (g *Gateway) groupOverloaded(gr *group) bool {
 	load := (g.meanPeerLoad*g.readyCores + g.ownThreads) / max(1, g.readyCores)
 	if load <= minOverloadLoad {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -8,8 +8,8 @@
 
 // Engine selection implements the P-DACA algorithm of K. Ohn, S. Lee, H. Cho, "Transaction Routing in Real-Time Shared
 // Disks Clusters", section 2.3, with the additions of the design notes. Comments use the step numbers of the paper and
-// mark each departure from it. A transaction of the paper is a request here, a node is an engine, an affinity cluster
-// is a table group, and #T counts threads instead of transactions.
+// say where the code differs from it. A transaction of the paper is a request here, a node is an engine, an affinity
+// cluster is a table group, and #T counts threads instead of transactions.
 
 const (
 	// w1Share is the paper's window w1, as a share of the queries that this gateway may have in flight at the engine.
@@ -46,8 +46,8 @@
 		return e
 	}
 
-	// Step 3. Departure: if no engine of the affinity set has capacity, any other engine is used; engines owned by an
-	// overloaded group come last.
+	// Step 3. Unlike in the paper, any other engine is used if no engine of the affinity set has capacity. Engines owned
+	// by an overloaded group come last.
 	return cmp.Or(leastLoaded(inside, g.lessLoaded), leastLoaded(outsideNear, g.lessLoaded),
 		leastLoaded(outside, g.lessLoaded), leastLoaded(candidates, g.lessLoaded))
 }
@@ -64,8 +64,8 @@
 }
 
 // lowestRank implements steps 2a and 2b: it returns the engine with the lowest rank(P(t), N) among those whose rank is
-// below the window, or nil. The rank is the number of own attempts at the engine with an earlier deadline. Departure:
-// ties, which the paper leaves open, are resolved in favor of the engine with the lowest #T.
+// below the window, or nil. The rank is the number of own attempts at the engine with an earlier deadline. The paper
+// leaves ties open; here the engine with the lowest #T wins.
 func (g *Gateway) lowestRank(r *request, engines []*engine, windowShare float64) *engine {
 	var best []*engine
 	bestRank := math.MaxInt
@@ -88,9 +88,10 @@
 	return max(1, windowShare*g.concurrencyLimit(e, 1)/g.threadsPerQuery)
 }
 
-// lessLoaded compares engines by #T per core, as in step 3. Departure: one gateway of many has less than one query at
-// most engines, so its own counts rarely differ. If they differ by no more than loadTieMargin, the estimated load of
-// the peers decides; if that is equal too, as it is without load reports, the choice is random.
+// lessLoaded compares engines by #T per core, as in step 3. Unlike in the paper, the estimated load of the peers
+// decides if the own counts differ by no more than loadTieMargin: one gateway of many has less than one query at most
+// engines, so its own counts rarely differ. If the estimates are equal too, as they are without load reports, the
+// choice is random.
 func (g *Gateway) lessLoaded(a, b *engine) bool {
 	ownA, ownB := g.ownLoadPerCore(a), g.ownLoadPerCore(b)
 	if math.Abs(ownA-ownB) > loadTieMargin*g.threadsPerQuery/min(a.cores, b.cores) {
@@ -129,7 +130,7 @@
 }
 
 // inPreferredZone reports whether the engine is in the zone of this gateway, or traffic between zones is free.
-// Departure: each step prefers such engines.
+// Unlike in the paper, each step prefers such engines.
 func (g *Gateway) inPreferredZone(e *engine) bool {
 	return g.settings.CrossZoneCost <= 0 || e.Zone == g.settings.Zone
 }
