dispatcher: the time in which the process stood still counts for what it reads

Callers got answers up to 1.9 s late from a gateway that had been suspended, or none before the kill. Cause: a budget counts from the client's sending, the gateway counted it from its reading, less a margin of a quarter at most that follows the loop's lag, which is measured no earlier than the reads.

Loop.ReadDelay (the delay of the last measurement of the lag, or of the next one if it is overdue) is taken from the budget, so what cannot be answered in time is rejected at once.

--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -84,9 +84,10 @@
 	return remaining - min(margin, maxMargin)
 }
 
-// Submit submits a request to the core. onID is called with the request's ID before any of the core's actions is executed.
+// Submit submits a request to the core. A client counts its time from when it sent the request, so the time in which the request may have
+// waited to be read is subtracted. onID is called with the request's ID before any of the core's actions is executed.
 func (d *Dispatcher) Submit(query core.Query, client Client, onID func(core.RequestID)) {
-	query.Remaining = coreTimeBudget(query.Remaining, d.Loop.Lag())
+	query.Remaining = coreTimeBudget(query.Remaining-d.Loop.ReadDelay(), d.Loop.Lag())
 	id, actions := d.Core.Submit(d.Loop.Now(), query)
 	deadline := d.Loop.AfterWithPriority(query.Remaining, func() { d.deadlinePassed(id) })
 	d.requests[id] = &request{client: client, deadline: deadline}
--- a/internal/transport/eventloop/loop.go
+++ b/internal/transport/eventloop/loop.go
@@ -21,6 +21,8 @@
 	queuedBytes atomic.Int64  // bytes to be written, over all connections
 	writeBudget int64         // bytes; if exceeded, a connection that queues more than guaranteedQueueBytes is closed
 	lag         time.Duration // largest recent delay of a timer, decaying over time
+	tickDue     time.Duration // when the next measurement of the lag is due; 0 = none was started
+	tickDelay   time.Duration // delay of the last measurement
 	activity    activityCounters
 }
 
@@ -47,13 +49,23 @@
 
 // StartLagMonitor starts to measure periodically how late the loop runs its timers.
 func (l *Loop) StartLagMonitor() {
-	due := l.Now() + lagInterval
+	l.tickDue = l.Now() + lagInterval
 	l.After(lagInterval, func() {
-		l.lag = max(l.Now()-due, time.Duration(float64(l.lag)*lagDecay))
+		l.tickDelay = l.Now() - l.tickDue
+		l.lag = max(l.tickDelay, time.Duration(float64(l.lag)*lagDecay))
 		l.StartLagMonitor()
 	})
 }
 
+// ReadDelay returns an estimate of how long the bytes that are handled now may have waited to be read: the delay of the last measurement
+// of the lag, or that of the next one if it is overdue, as it is right after the process was suspended. It is 0 before StartLagMonitor is called.
+func (l *Loop) ReadDelay() time.Duration {
+	if l.tickDue == 0 {
+		return 0
+	}
+	return max(l.tickDelay, l.Now()-l.tickDue)
+}
+
 // Lag returns the largest recent delay of the loop's timers. It is 0 before StartLagMonitor is called.
 func (l *Loop) Lag() time.Duration { return l.lag }
 
--- a/internal/transport/eventloop/loop_test.go
+++ b/internal/transport/eventloop/loop_test.go
@@ -29,6 +29,28 @@
 	}
 }
 
+// ReadDelay reports how long the loop was blocked to the functions that were queued meanwhile, and forgets it when the loop has caught up. It
+// guards against time budgets that begin only when a suspended process reads the request.
+func TestReadDelayReportsBlockedTime(t *testing.T) {
+	const blocked = 300 * time.Millisecond
+	loop := startLoop(t)
+	loop.Do(loop.StartLagMonitor)
+	var delay time.Duration
+	done := make(chan struct{})
+	loop.Do(func() {
+		go loop.Post(func() { delay = loop.ReadDelay(); close(done) })
+		time.Sleep(blocked)
+	})
+	<-done
+	if delay < blocked-lagInterval {
+		t.Errorf("read delay %v after the loop was blocked for %v, want at least %v", delay, blocked, blocked-lagInterval)
+	}
+	for delay > blocked/2 {
+		loop.Do(func() { delay = loop.ReadDelay() })
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Lag reports the delay of a timer that expired while the loop was blocked.
 func TestLagReportsTimerDelay(t *testing.T) {
 	loop := startLoop(t)
--- a/internal/transport/frontend/client_races_test.go
+++ b/internal/transport/frontend/client_races_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -155,6 +156,32 @@
 	expectEOF(t, in)
 }
 
+// The time in which the process was suspended counts for the requests that it reads afterwards: the engine is told a budget that is shorter
+// by that time. It guards against answers that come too late by as long as the process was suspended.
+func TestSuspendedTimeIsTakenFromBudget(t *testing.T) {
+	const suspended, budget = time.Second, 3 * time.Second
+	e := nettest.NewEngine(t, "e")
+	f := newFixture(t, 4, e)
+	nc, _ := f.connect()
+	f.loop.Do(f.loop.StartLagMonitor)
+	f.loop.Do(func() {
+		nettest.Send(t, nc, strings.Replace(queryLine(11, idempotentClass), `"budget":20000`, fmt.Sprintf(`"budget":%d`, budget.Milliseconds()), 1))
+		waitOut(t, f.loop, suspended)
+	})
+	engineConn := e.Accept()
+	if _, err := engineConn.Reader.ReadLine(); err != nil {
+		t.Fatal(err)
+	}
+	header, err := engineConn.Reader.ReadMIMEHeader()
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, err := strconv.Atoi(header.Get("X-Budget"))
+	if limit := (budget - suspended*9/10).Milliseconds(); err != nil || int64(told) > limit {
+		t.Errorf("the engine was told a budget of %d ms (error %v), want at most %d ms", told, err, limit)
+	}
+}
+
 // A request is rejected at its deadline although functions are queued on the loop that take until after the deadline. It guards against
 // rejections that wait behind all queued work, and reach the client too late.
 func TestRequestIsRejectedAtDeadlineWhileLoopIsBehind(t *testing.T) {
