Tests and policy: one log buffer, pause and budgeted query; a plainer decay

The mended faults brought a second log buffer for tests, the same pause in two packages, three text replacements of a query's budget, and an error comparison that worked its decay factor out of two counts.

testutil.LogBuffer, nettest.WaitOut and queryLineWithBudget serve all places; answerCounts.decay returns its factor. No check, bound or expectation changes; the decay differs by rounding at most.

--- a/cmd/frostpier/lifecycle_races_test.go
+++ b/cmd/frostpier/lifecycle_races_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"frostpier/internal/testbed/soak"
+	"frostpier/internal/testutil"
 )
 
 // The tests in this file force races between clients, discovery, and the start and shutdown of the gateway; docs/design/crossings.md lists
@@ -288,7 +289,7 @@
 	t.Parallel()
 	e := newHTTPEngine(t)
 	first := startNode(t, "", engineInService("e1", e.addr()))
-	next := &node{t: t, listen: first.listen, log: &logBuffer{}, configPath: first.configPath}
+	next := &node{t: t, listen: first.listen, log: &testutil.LogBuffer{}, configPath: first.configPath}
 	next.launch()
 	next.waitLog("address in use, retrying")
 	first.cmd.Process.Kill()
@@ -296,7 +297,7 @@
 	c := dialRPC(t, next)
 	c.submit(2, "lookup", "x", 3000, "")
 	c.wantServed(2, "a\tb\tc\n")
-	third := &node{t: t, listen: first.listen, log: &logBuffer{}, configPath: first.configPath}
+	third := &node{t: t, listen: first.listen, log: &testutil.LogBuffer{}, configPath: first.configPath}
 	third.launch()
 	third.waitLog("address in use, retrying")
 	third.cmd.Process.Signal(syscall.SIGTERM)
--- a/cmd/frostpier/program_test.go
+++ b/cmd/frostpier/program_test.go
@@ -20,6 +20,7 @@
 
 	"frostpier/internal/program"
 	"frostpier/internal/testbed/emulator"
+	"frostpier/internal/testutil"
 )
 
 // waitTimeout is how long a test waits for a condition before it fails.
@@ -61,7 +62,7 @@
 	t          *testing.T
 	cmd        *exec.Cmd
 	listen     string
-	log        *logBuffer
+	log        *testutil.LogBuffer
 	discovery  *discoveryServer
 	configPath string
 	config     map[string]any // content of the configuration
@@ -69,24 +70,6 @@
 	operatorPath string // empty = no operator's file
 }
 
-// logBuffer collects the output of a process.
-type logBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *logBuffer) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 const testSettings = `{"classes":[
 {"name":"lookup","objective":800000000,"give_up":4000000000,"repeat":"retryable","worth":1},
 {"name":"report","objective":3000000000,"give_up":15000000000,"repeat":"retryable","worth":10},
@@ -106,7 +89,7 @@
 // startNodeWith is like startNode, but lets change modify the configuration.
 func startNodeWith(t *testing.T, operator string, change func(conf map[string]any), engines ...engineEntry) *node {
 	t.Helper()
-	n := &node{t: t, listen: freePort(t), log: &logBuffer{}, discovery: newDiscoveryServer(t, engines...)}
+	n := &node{t: t, listen: freePort(t), log: &testutil.LogBuffer{}, discovery: newDiscoveryServer(t, engines...)}
 	dir := t.TempDir()
 	n.configPath = filepath.Join(dir, "config.json")
 	n.config = map[string]any{"name": "n0", "listen": n.listen, "seed": "8c1f30d27a5be964",
--- a/internal/program/shutdown_test.go
+++ b/internal/program/shutdown_test.go
@@ -1,7 +1,6 @@
 package program_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -9,35 +8,17 @@
 	"path/filepath"
 	"runtime"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"frostpier/internal/program"
 	"frostpier/internal/testbed/emulator"
+	"frostpier/internal/testutil"
 	"frostpier/internal/testutil/nettest"
 	"frostpier/internal/transport/eventloop"
 )
 
-// syncBuffer is a log output that is safe for concurrent use.
-type syncBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *syncBuffer) contains(text string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return strings.Contains(b.text.String(), text)
-}
-
 // setConfig writes a minimal configuration and sets the environment variable that names it.
 func setConfig(t *testing.T) {
 	t.Helper()
@@ -60,7 +41,7 @@
 func TestShutdownBeginsBeforeQueuedFunctions(t *testing.T) {
 	const slowFunctions, slowFunction = 20, 50 * time.Millisecond
 	setConfig(t)
-	output := &syncBuffer{}
+	output := &testutil.LogBuffer{}
 	loops := make(chan *eventloop.Loop, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -70,15 +51,14 @@
 		ended <- program.Run(ctx, nil, slog.New(slog.NewTextHandler(output, nil)), hooks)
 	}()
 	loop := <-loops
-	nettest.Eventually(t, "the program to serve", func() bool { return output.contains("msg=serving") })
+	nettest.Eventually(t, "the program to serve", func() bool { return strings.Contains(output.String(), "msg=serving") })
 	var stoppingSeen atomic.Bool
 	for i := range slowFunctions {
 		loop.Post(func() {
 			if i == slowFunctions-1 {
-				stoppingSeen.Store(output.contains("msg=stopping"))
+				stoppingSeen.Store(strings.Contains(output.String(), "msg=stopping"))
 			}
-			end := time.Now().Add(slowFunction)
-			nettest.Eventually(t, "the pause to end", func() bool { return time.Now().After(end) })
+			nettest.WaitOut(t, slowFunction)
 		})
 	}
 	cancel()
--- a/internal/testutil/nettest/nettest.go
+++ b/internal/testutil/nettest/nettest.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// WaitOut blocks the calling goroutine for a duration. A test calls it on an event loop, as if the process got no CPU time.
+func WaitOut(t testing.TB, d time.Duration) {
+	t.Helper()
+	end := time.Now().Add(d)
+	Eventually(t, "the pause to end", func() bool { return time.Now().After(end) })
+}
+
 // WaitDelivered waits until the peer's kernel has acknowledged all data sent on a TCP connection, including a FIN.
 func WaitDelivered(t testing.TB, nc net.Conn) {
 	t.Helper()
--- a/internal/transport/frontend/client_races_test.go
+++ b/internal/transport/frontend/client_races_test.go
@@ -165,8 +165,8 @@
 	nc, _ := f.connect()
 	f.loop.Do(f.loop.StartLagMonitor)
 	f.loop.Do(func() {
-		nettest.Send(t, nc, strings.Replace(queryLine(11, idempotentClass), `"budget":20000`, fmt.Sprintf(`"budget":%d`, budget.Milliseconds()), 1))
-		waitOut(t, f.loop, suspended)
+		nettest.Send(t, nc, queryLineWithBudget(11, idempotentClass, budget))
+		nettest.WaitOut(t, suspended)
 	})
 	engineConn := e.Accept()
 	if _, err := engineConn.Reader.ReadLine(); err != nil {
@@ -189,13 +189,13 @@
 	e := nettest.NewEngine(t, "e")
 	f := newFixture(t, 4, e)
 	nc, c := f.connect()
-	nettest.Send(t, nc, strings.Replace(queryLine(11, idempotentClass), `"budget":20000`, `"budget":400`, 1))
+	nettest.Send(t, nc, queryLineWithBudget(11, idempotentClass, 400*time.Millisecond))
 	e.Accept().ReadRequest()
 	done := make(chan struct{})
 	f.loop.Do(func() {
 		go func() {
 			for range slowFunctions {
-				f.loop.Post(func() { waitOut(t, f.loop, slowFunction) })
+				f.loop.Post(func() { nettest.WaitOut(t, slowFunction) })
 			}
 			f.loop.Post(func() {
 				if open := len(c.requests); open != 0 {
--- a/internal/transport/frontend/engine_races_test.go
+++ b/internal/transport/frontend/engine_races_test.go
@@ -188,16 +188,16 @@
 // response that it has not read for missing, and polls or cancels the query instead.
 func TestArrivedResponsePrecedesExpiredTimers(t *testing.T) {
 	const pause = 600 * time.Millisecond // longer than the response timeout of a query
-	for name, budget := range map[string]string{"response timeout": `"budget":20000`, "deadline": `"budget":600`} {
+	for name, budget := range map[string]time.Duration{"response timeout": 20 * time.Second, "deadline": pause} {
 		t.Run(name, func(t *testing.T) {
 			e := nettest.NewEngine(t, "e")
 			f := newFixture(t, 4, e)
 			nc, _ := f.connect()
-			nettest.Send(t, nc, strings.Replace(queryLine(11, nonIdempotentClass), `"budget":20000`, budget, 1))
+			nettest.Send(t, nc, queryLineWithBudget(11, nonIdempotentClass, budget))
 			engineConn := e.Accept()
 			engineConn.ReadRequest()
 			f.loop.Do(func() {
-				waitOut(t, f.loop, pause)
+				nettest.WaitOut(t, pause)
 				nettest.Send(t, engineConn.Conn, succeeded)
 			})
 			expectLine(t, bufio.NewReader(nc), `"id":11,"result"`)
--- a/internal/transport/frontend/fixture_test.go
+++ b/internal/transport/frontend/fixture_test.go
@@ -92,9 +92,11 @@
 }
 
 // queryLine returns the request line of a query.
-func queryLine(id int, class string) string {
-	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":"%016x","budget":20000,"token":"k%d","blob":"eA=="}}`+"\n",
-		id, class, id, id)
+func queryLine(id int, class string) string { return queryLineWithBudget(id, class, 20*time.Second) }
+
+func queryLineWithBudget(id int, class string, budget time.Duration) string {
+	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":"%016x","budget":%d,"token":"k%d","blob":"eA=="}}`+"\n",
+		id, class, id, budget.Milliseconds(), id)
 }
 
 // connect connects a client and waits until the listener has answered its ping.
--- a/internal/transport/frontend/listener_races_test.go
+++ b/internal/transport/frontend/listener_races_test.go
@@ -11,7 +11,6 @@
 
 	"frostpier/internal/testutil/nettest"
 	"frostpier/internal/transport/dispatcher"
-	"frostpier/internal/transport/eventloop"
 )
 
 // The tests in this file force races between the stop of a listener and its clients; docs/design/crossings.md lists them.
@@ -38,13 +37,6 @@
 // pauseAfterStop is longer than any time that a listener may wait for its accept goroutine.
 const pauseAfterStop = 100 * time.Millisecond
 
-// waitOut blocks the loop, on which it is called, for a duration, as if the process got no CPU time. The accept goroutine is blocked too, since
-// it waits for the loop to handle the connection that it has accepted.
-func waitOut(t *testing.T, loop *eventloop.Loop, d time.Duration) {
-	end := loop.Now() + d
-	nettest.Eventually(t, "the pause to end", func() bool { return loop.Now() > end })
-}
-
 // Connections that the kernel has accepted before the listener is closed are served even if the process is paused right after Stop. It
 // guards against a stop that waits for the accept goroutine for a fixed time, and resets the connections that it has not accepted by then.
 func TestQueuedConnectionsAreServedAfterPausedStop(t *testing.T) {
@@ -58,7 +50,7 @@
 			queued = append(queued, nc)
 		}
 		f.Stop(func() { close(done) })
-		waitOut(t, f.loop, pauseAfterStop)
+		nettest.WaitOut(t, pauseAfterStop)
 	})
 	<-done
 	for _, nc := range queued {
@@ -78,7 +70,7 @@
 		}
 		queued = dialMySQL(t, l, 8)
 		l.StopAccepting()
-		waitOut(t, l.dispatcher.Loop, pauseAfterStop)
+		nettest.WaitOut(t, pauseAfterStop)
 	})
 	expectGreetings(t, queued)
 }
--- a/policy/errorshares.go
+++ b/policy/errorshares.go
@@ -41,12 +41,14 @@
 	updatedAt       time.Duration
 }
 
-// decay brings the counts up to date.
-func (c *answerCounts) decay(now time.Duration) {
-	if c.updatedAt != now {
-		factor := math.Exp(-float64(now-c.updatedAt) / float64(errorShareDecay))
-		c.answers, c.errors, c.updatedAt = c.answers*factor, c.errors*factor, now
+// decay brings the counts up to date, and returns the factor by which they have decayed.
+func (c *answerCounts) decay(now time.Duration) (factor float64) {
+	if c.updatedAt == now {
+		return 1
 	}
+	factor = math.Exp(-float64(now-c.updatedAt) / float64(errorShareDecay))
+	c.answers, c.errors, c.updatedAt = c.answers*factor, c.errors*factor, now
+	return factor
 }
 
 func (c *answerCounts) add(now time.Duration, errors float64) {
@@ -73,16 +75,10 @@
 }
 
 func (c *errorComparison) add(now time.Duration, errors, expectedShare float64) {
-	before := c.answers
-	c.decay(now)
-	if before > 0 {
-		factor := c.answers / before
-		c.expectedErrors, c.variance = c.expectedErrors*factor, c.variance*factor
-	}
-	c.answers++
-	c.errors += errors
-	c.expectedErrors += expectedShare
-	c.variance += expectedShare * (1 - expectedShare)
+	factor := c.decay(now)
+	c.answerCounts.add(now, errors)
+	c.expectedErrors = c.expectedErrors*factor + expectedShare
+	c.variance = c.variance*factor + expectedShare*(1-expectedShare)
 }
 
 // isExcessive reports whether the engine returned many more errors than expected.
