--- a/review/standin/bulletin.go
+++ b/review/standin/bulletin.go
@@ -53,6 +53,18 @@
 	return b, nil
 }
 
+// setDelay makes all lines that are written until a time arrive late.
+func (b *bulletin) setDelay(delay time.Duration, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.delay = func() time.Duration {
+		if time.Now().Before(until) {
+			return delay
+		}
+		return 0
+	}
+}
+
 // publish appends an event, which counts as told once it has reached the workload manager, 7 s later at the latest.
 func (b *bulletin) publish(engines []listed) (at time.Time) {
 	b.mu.Lock()
--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -14,6 +14,8 @@
 // Figures of the case.
 const (
 	memoryWarmup  = 3 * time.Second
+	memoryLength  = 10 * time.Second
+	memoryLookups = 50 * time.Millisecond
 	badClients    = 48         // they connect by the hundreds
 	badAtOnce     = 32         // hundreds of requests at once; the protocol allows 32 open ones on a connection
 	badStatement  = 185 * 1000 // bytes; bodies of up to 60 MB
@@ -67,90 +69,59 @@
 	}
 }
 
-// playMemory lets bad clients send many large requests at once, and checks that the workload manager stays within its memory
-// limit and that the usual clients get their answers. Like the platform, it kills the process once it is over the limit.
-func playMemory(s *setup) int {
-	o := &outs{}
-	_, _, list, err := s.startEngines(6, o)
-	if err != nil {
-		return s.fail("%v", err)
-	}
-	b, err := startBulletin(s.rec, list)
-	if err != nil {
-		return s.fail("%v", err)
-	}
-	g, err := startGateway(gatewayConfig{root: s.root, temp: s.temp, caseDir: s.dir, bulletin: b})
-	if err != nil {
-		return s.fail("%v", err)
+// watchMemory sends look-ups at their interval until a time, and watches the memory of the gateway meanwhile. Like the platform,
+// it kills the process once it is over the limit. It returns the largest memory, in MB, and whether that was over the limit.
+func (w *world) watchMemory(until time.Time) (peak float64, over bool) {
+	for due := time.Now(); time.Now().Before(until) && w.gateway.alive(); time.Sleep(5 * time.Millisecond) {
+		mb := memoryOf(w.gateway.cmd.Process.Pid)
+		if mb > peak+5 {
+			w.rec.add("platform: the workload manager has %.0f MB", mb)
+			peak = mb
+		}
+		if mb > memoryLimitMB {
+			w.rec.add("platform: over %d MB, the workload manager is killed", memoryLimitMB)
+			w.gateway.kill()
+			return mb, true
+		}
+		if time.Now().After(due) {
+			w.sendLookup()
+			due = due.Add(memoryLookups)
+		}
 	}
-	defer g.stop()
-	c, err := dialClient(s.rec, g.addr)
+	return peak, false
+}
+
+// playMemory lets bad clients send many large requests at once, and checks that the gateway stays within its memory limit and
+// that the usual client gets its answers.
+func playMemory(s *setup) int {
+	w, err := newWorld(s, 6, 1)
+	defer w.close()
 	if err != nil {
 		return s.fail("%v", err)
 	}
-	peak, over := 0.0, 0.0
-	var calls []*call
-	n := 0
-	lookups := func(d time.Duration) { // 20 look-ups a second of a usual client
-		due := time.Now()
-		for until := time.Now().Add(d); time.Now().Before(until) && g.alive(); time.Sleep(5 * time.Millisecond) {
-			mb := memoryOf(g.cmd.Process.Pid)
-			if mb > peak+5 {
-				s.rec.add("platform: the workload manager has %.0f MB", mb)
-				peak = mb
-			}
-			if mb > memoryLimitMB && over == 0 {
-				over = mb
-				s.rec.add("platform: over %d MB, the workload manager is killed", memoryLimitMB)
-				_ = g.cmd.Process.Kill()
-				<-g.done
-				return
-			}
-			if time.Now().After(due) {
-				calls = append(calls, c.send("lookup", statement(1+n%24, 150*time.Millisecond), 4*time.Second, 150*time.Millisecond))
-				n++
-				due = due.Add(50 * time.Millisecond)
-			}
-		}
-	}
-	lookups(memoryWarmup)
+	_, _ = w.watchMemory(time.Now().Add(memoryWarmup))
 	var badAnswers atomic.Int64
 	if s.trouble {
 		s.rec.add("clients: %d bad clients connect and send %d requests of %d bytes each at once", badClients, badAtOnce, badStatement)
 		for i := range badClients {
-			go sendMuch(s.rec, g.addr, i, &badAnswers)
-		}
-	}
-	lookups(10 * time.Second)
-	counts := map[string]int{}
-	missing := 0
-	for _, k := range calls {
-		wait := time.Until(k.sent.Add(4500 * time.Millisecond))
-		if !g.alive() {
-			wait = min(wait, 200*time.Millisecond)
-		}
-		timeout := time.NewTimer(max(time.Millisecond, wait))
-		select {
-		case <-k.done:
-			counts[k.verdict]++
-		case <-timeout.C:
-			missing++
-			s.rec.add("client: %s %s has no answer: lost", k.class, k.rid)
+			go sendMuch(s.rec, w.gateway.addr, i, &badAnswers)
 		}
 	}
+	peak, over := w.watchMemory(time.Now().Add(memoryLength))
+	answers, missing := w.awaitAnswers(500 * time.Millisecond)
 	s.rec.verdict("answers to the usual client: %v, none to %d; answers to the bad clients: %d; largest private memory %.0f MB, limit %d MB",
-		counts, missing, badAnswers.Load(), max(peak, over), memoryLimitMB)
+		answers, missing, badAnswers.Load(), peak, memoryLimitMB)
 	switch {
-	case over > 0:
-		s.rec.verdict("BROKEN: the workload manager had %.0f MB and was killed; %d requests of the usual client got no answer", over, missing)
+	case over:
+		s.rec.verdict("BROKEN: the workload manager had %.0f MB and was killed; %d requests of the usual client got no answer", peak, missing)
 		return broken
-	case !g.alive():
+	case !w.gateway.alive():
 		s.rec.verdict("BROKEN: the workload manager has ended")
 		return broken
 	case missing > 0:
 		s.rec.verdict("BROKEN: %d requests of the usual client got no answer", missing)
 		return broken
-	case counts["served"] < len(calls)/2 && !s.trouble:
+	case answers["served"] < len(w.calls)/2 && !s.trouble:
 		return s.fail("too few requests were served")
 	}
 	s.rec.verdict("held: the workload manager stayed within its limit, and each request was answered")
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -6,8 +6,6 @@
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -25,6 +23,7 @@
 // call is a request and its answer.
 type call struct {
 	rid, class string
+	budget     time.Duration
 	sent       time.Time
 	answered   time.Time
 	answers    int
@@ -51,7 +50,7 @@
 
 // send sends a request. budget is how long the client waits, work its estimate of the work on one core.
 func (c *client) send(class, text string, budget, work time.Duration) *call {
-	k := &call{rid: randomHex(8), class: class, done: make(chan struct{})}
+	k := &call{rid: randomHex(8), class: class, budget: budget, done: make(chan struct{})}
 	params := map[string]any{"rid": k.rid, "budget": budget.Milliseconds(), "est": float64(work.Milliseconds()), "ram": 96,
 		"blob": base64.StdEncoding.EncodeToString([]byte(text))}
 	if class == "form-load" {
@@ -69,56 +68,58 @@
 	return k
 }
 
+// answer is a line from the gateway.
+type answer struct {
+	ID     int `json:"id"`
+	Result *struct {
+		Blob string `json:"blob"`
+	} `json:"result"`
+	Error *struct {
+		Code    int    `json:"code"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// refused is the code of a refusal.
+const refused = -32008
+
 func (c *client) read() {
 	in := bufio.NewReader(c.conn)
 	for {
 		line, err := in.ReadString('\n')
 		if err != nil {
-			if err != io.EOF {
-				c.rec.add("client: connection ended: %v", err)
-			}
+			c.rec.add("client: connection ended: %v", err)
 			return
 		}
-		var m struct {
-			ID     int `json:"id"`
-			Result *struct {
-				Blob string `json:"blob"`
-			} `json:"result"`
-			Error *struct {
-				Code    int    `json:"code"`
-				Message string `json:"message"`
-			} `json:"error"`
-		}
-		if err := json.Unmarshal([]byte(line), &m); err != nil {
+		var a answer
+		if err := json.Unmarshal([]byte(line), &a); err != nil {
 			c.rec.add("client: unreadable answer %.80q", line)
 			continue
 		}
-		c.mu.Lock()
-		k := c.waiting[m.ID]
-		if k == nil {
-			c.mu.Unlock()
-			continue
-		}
-		k.answers++
-		first := k.answers == 1
-		if first {
-			k.answered = time.Now()
-			switch {
-			case m.Result != nil:
-				body, _ := base64.StdEncoding.DecodeString(m.Result.Blob)
-				k.verdict, k.body = "served", string(body)
-			case m.Error != nil && m.Error.Code == -32008:
-				k.verdict = "refused"
-			case m.Error != nil:
-				k.verdict = "failed"
-			}
-		}
-		c.mu.Unlock()
-		c.rec.add("client: answer to %s %s after %.3f s: %s %s", k.class, k.rid, time.Since(k.sent).Seconds(), k.verdict, trimmed(k.body))
-		if first {
-			close(k.done)
-		}
+		c.handle(a)
 	}
 }
 
-func trimmed(s string) string { return fmt.Sprintf("%.60q", s) }
+// handle records an answer.
+func (c *client) handle(a answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.waiting[a.ID]
+	if k == nil {
+		return
+	}
+	k.answers++
+	verdict, body := "failed", ""
+	switch {
+	case a.Result != nil:
+		text, _ := base64.StdEncoding.DecodeString(a.Result.Blob)
+		verdict, body = "served", string(text)
+	case a.Error != nil && a.Error.Code == refused:
+		verdict = "refused"
+	}
+	c.rec.add("client: answer %d to %s %s after %.3f s: %s %.60q", k.answers, k.class, k.rid, time.Since(k.sent).Seconds(), verdict, body)
+	if k.answers == 1 {
+		k.answered, k.verdict, k.body = time.Now(), verdict, body
+		close(k.done)
+	}
+}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -23,10 +23,10 @@
 	rec        *record
 	outs       *outs
 	server     *http.Server
-	onPost     func(rid string, at time.Time) // called for each POST that has come whole
 
 	mu      sync.Mutex
 	queries map[string]*query
+	onPost  func(rid string, at time.Time) // called for each POST that has come whole
 }
 
 type query struct {
@@ -51,6 +51,13 @@
 	return e, nil
 }
 
+// setOnPost sets a function that is called for each POST.
+func (e *engine) setOnPost(f func(rid string, at time.Time)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onPost = f
+}
+
 // watchLeases abandons the queries that nobody has asked for in 2 s.
 func (e *engine) watchLeases() {
 	for range time.Tick(20 * time.Millisecond) {
@@ -112,8 +119,11 @@
 	q := &query{started: time.Now(), lastAsked: time.Now(), duration: durationOf(text), over: make(chan struct{}), state: "running"}
 	q.out = e.outs.begin(rid, e.name, h.Get("X-Sort"))
 	e.rec.add("engine %s: POST %s class %s budget %s key %s takes %v", e.name, rid, h.Get("X-Sort"), h.Get("X-Budget"), h.Get("X-Replay-Key"), q.duration)
-	if e.onPost != nil {
-		e.onPost(rid, time.Now())
+	e.mu.Lock()
+	onPost := e.onPost
+	e.mu.Unlock()
+	if onPost != nil {
+		onPost(rid, time.Now())
 	}
 	if !strings.HasPrefix(text, "SELECT") { // not a statement
 		e.outs.finish(q.out, "error")
--- a/review/standin/link.go
+++ b/review/standin/link.go
@@ -18,13 +18,18 @@
 	target string
 	ln     *net.TCPListener
 
+	plugs  []net.Conn // connections that fill the queue of the listener during a cut
+	filled chan bool  // whether they did
+
 	mu     sync.Mutex
 	cut    bool
 	healed chan struct{} // closed at the end of the cut
-	plugs  []net.Conn    // connections that fill the queue of the listener during a cut
 	ports  map[string]bool
 }
 
+// acceptWait is how long the listener waits for a connection before it looks whether the link is cut.
+const acceptWait = 20 * time.Millisecond
+
 // firstRetransmission is the first retransmission time-out of Linux on a fast path; it doubles with each retransmission.
 const firstRetransmission = 200 * time.Millisecond
 
@@ -40,7 +45,7 @@
 
 func (l *link) accept() {
 	for {
-		_ = l.ln.SetDeadline(time.Now().Add(20 * time.Millisecond))
+		_ = l.ln.SetDeadline(time.Now().Add(acceptWait))
 		l.mu.Lock()
 		cut := l.cut
 		l.mu.Unlock()
@@ -74,11 +79,17 @@
 }
 
 // startCut cuts the link. The queue of the listener is filled, so that the handshake of a new connection never completes.
-func (l *link) startCut() bool {
+func (l *link) startCut() {
 	l.mu.Lock()
 	l.cut, l.healed = true, make(chan struct{})
 	l.mu.Unlock()
-	time.Sleep(30 * time.Millisecond) // the last Accept has returned
+	l.filled = make(chan bool, 1)
+	go func() { l.filled <- l.fill() }()
+}
+
+// fill fills the queue of the listener, and reports whether it is full.
+func (l *link) fill() bool {
+	time.Sleep(acceptWait) // the last Accept has returned
 	l.backlog(0)
 	for range 8 {
 		c, err := net.DialTimeout("tcp4", l.addr, 100*time.Millisecond)
@@ -93,8 +104,9 @@
 	return false
 }
 
-// endCut ends the cut.
-func (l *link) endCut() {
+// endCut ends the cut, and reports whether the queue of the listener was full during it.
+func (l *link) endCut() (filled bool) {
+	filled = <-l.filled
 	l.backlog(128)
 	for _, c := range l.plugs {
 		_ = c.Close()
@@ -104,6 +116,7 @@
 	l.cut = false
 	close(l.healed)
 	l.mu.Unlock()
+	return filled
 }
 
 // state reports whether the link is cut, and the channel that is closed at the end of the cut.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -58,39 +58,3 @@
 	s.rec.verdict("could not run: "+format, args...)
 	return couldNot
 }
-
-// startEngines starts n engines, each behind a link, and returns their entries in the list.
-func (s *setup) startEngines(n int, o *outs) (engines []*engine, links []*link, list []listed, err error) {
-	for i := range n {
-		e, err := startEngine(fmt.Sprintf("e%d", i), s.rec, o)
-		if err != nil {
-			return nil, nil, nil, err
-		}
-		l, err := startLink(e.addr)
-		if err != nil {
-			return nil, nil, nil, err
-		}
-		engines, links = append(engines, e), append(links, l)
-		list = append(list, listed{ID: fmt.Sprintf("s-%08x", 0x00c41f70+i), Addr: l.addr, Zone: "reykjavik-dc1",
-			Kind: []string{"large-12c", "small-8c"}[i%2], Cell: 1, Lifecycle: "in_service", Weight: 4})
-	}
-	return engines, links, list, nil
-}
-
-// awaitAnswers waits for the answer to each call, for at most wait after it was sent.
-func (s *setup) awaitAnswers(calls []*call, wait time.Duration) {
-	missing := 0
-	for _, k := range calls {
-		timeout := time.NewTimer(max(time.Millisecond, time.Until(k.sent.Add(wait))))
-		select {
-		case <-k.done:
-		case <-timeout.C:
-			missing++
-			s.rec.add("client: %s %s has no answer", k.class, k.rid)
-		}
-		timeout.Stop()
-	}
-	if missing > 0 {
-		s.rec.verdict("note: %d requests have no answer", missing)
-	}
-}
