--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -27,6 +28,7 @@
 	mu      sync.Mutex
 	queries map[string]*query
 	onPost  func(rid string, at time.Time) // called for each POST that has come whole
+	spoil   func() bool                    // reports whether the next good answer is spoilt; nil = none
 }
 
 type query struct {
@@ -58,6 +60,13 @@
 	e.onPost = f
 }
 
+// setSpoil sets a function that decides for each good answer whether it is spoilt.
+func (e *engine) setSpoil(f func() bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.spoil = f
+}
+
 // watchLeases abandons the queries that nobody has asked for in 2 s.
 func (e *engine) watchLeases() {
 	for range time.Tick(20 * time.Millisecond) {
@@ -163,14 +172,53 @@
 		w.Header().Set("Figure", fmt.Sprintf("%.2f", min(1, share)))
 		e.answer(w, http.StatusAccepted, "")
 	case "ok":
-		w.Header().Set("Page-Count", "1")
-		e.answer(w, http.StatusOK, "row of\t"+rid+"\tby "+e.name+"\n")
+		e.goodAnswer(w, rid)
 		e.outs.finish(q.out, "ok")
 	default:
 		e.answer(w, http.StatusInternalServerError, "")
 	}
 }
 
+// rowsOf returns the result of a query: rows of three text columns.
+func rowsOf(rid string) string {
+	places := []string{"Akureyri", "Egilsstadir", "Hofn", "Isafjordur", "Keflavik", "Selfoss", "Vik"}
+	var b strings.Builder
+	for i := range 10 + int(rid[0])%20 {
+		fmt.Fprintf(&b, "%s\t%d\t%s\n", places[(i+int(rid[1]))%len(places)], i+1, rid[:4])
+	}
+	return b.String()
+}
+
+// goodAnswer answers with the result of a query, in one page.
+func (e *engine) goodAnswer(w http.ResponseWriter, rid string) {
+	e.mu.Lock()
+	spoil := e.spoil
+	e.mu.Unlock()
+	rows := rowsOf(rid)
+	if spoil != nil && spoil() {
+		e.wrongLength(w, rid, rows)
+		return
+	}
+	w.Header().Set("Page-Count", "1")
+	e.answer(w, http.StatusOK, rows)
+}
+
+// wrongLength writes a good answer with a length that does not fit: any length below that of the body. The connection is left
+// open, and of no further use.
+func (e *engine) wrongLength(w http.ResponseWriter, rid, rows string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	length := rand.IntN(len(rows))
+	e.rec.add("engine %s: answer to %s is spoilt: Content-Length %d, %d bytes", e.name, rid, length, len(rows))
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: %d\r\n\r\n%s", length, rows)
+	go func() {
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	}()
+}
+
 func (e *engine) answer(w http.ResponseWriter, status int, body string) {
 	e.mu.Lock()
 	running := 0
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,7 +27,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	cases := map[string]func(*setup) int{"memory": playMemory, "cut": playCut, "slow": playSlow}
+	cases := map[string]func(*setup) int{"spoilt": playSpoilt, "memory": playMemory, "cut": playCut, "slow": playSlow}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER")
 		return couldNot
