--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -14,9 +14,9 @@
 // Figures of the case.
 const (
 	memoryWarmup  = 3 * time.Second
-	memoryLength  = 10 * time.Second
+	memoryLength  = 20 * time.Second
 	memoryLookups = 50 * time.Millisecond
-	badClients    = 48         // they connect by the hundreds
+	badClients    = 64         // they connect by the hundreds
 	badAtOnce     = 32         // hundreds of requests at once; the protocol allows 32 open ones on a connection
 	badStatement  = 185 * 1000 // bytes; bodies of up to 60 MB
 	memoryLimitMB = 192        // limits.memory_mb: over it the workload manager is killed
@@ -46,7 +46,7 @@
 		return
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
+	_ = conn.SetDeadline(time.Now().Add(25 * time.Second))
 	go func() {
 		body := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("no statement ", badStatement/13)))
 		for id := 1; id <= badAtOnce; id++ {
