--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -14,12 +14,13 @@
 // Figures of the case.
 const (
 	memoryWarmup  = 3 * time.Second
-	memoryLength  = 20 * time.Second
+	memoryLength  = 40 * time.Second
 	memoryLookups = 50 * time.Millisecond
 	badClients    = 64         // they connect by the hundreds
 	badAtOnce     = 32         // hundreds of requests at once; the protocol allows 32 open ones on a connection
 	badStatement  = 185 * 1000 // bytes; bodies of up to 60 MB
-	memoryLimitMB = 192        // limits.memory_mb: over it the workload manager is killed
+	memoryLimitMB = 96         // limits.memory_mb: over it the workload manager is killed
+	memorySockets = 512
 )
 
 // memoryOf returns the private memory of a process in MB: without the pages of its program file.
@@ -46,11 +47,11 @@
 		return
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(25 * time.Second))
+	_ = conn.SetDeadline(time.Now().Add(memoryLength))
 	go func() {
 		body := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("no statement ", badStatement/13)))
 		for id := 1; id <= badAtOnce; id++ {
-			params := map[string]any{"rid": randomHex(8), "budget": 15000, "est": 1.0, "ram": 1, "blob": body}
+			params := map[string]any{"rid": randomHex(8), "budget": 30000, "est": 1.0, "ram": 1, "blob": body}
 			line, _ := json.Marshal(map[string]any{"jsonrpc": "2.0", "id": id, "method": "report", "params": params})
 			if _, err := conn.Write(append(line, '\n')); err != nil {
 				rec.add("bad client %d: request %d: %v", number, id, err)
@@ -94,6 +95,7 @@
 // playMemory lets bad clients send many large requests at once, and checks that the gateway stays within its memory limit and
 // that the usual client gets its answers.
 func playMemory(s *setup) int {
+	s.memoryMB, s.sockets = memoryLimitMB, memorySockets
 	w, err := newWorld(s, 6, 1)
 	defer w.close()
 	if err != nil {
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -33,6 +33,7 @@
 type gatewayConfig struct {
 	root, temp, caseDir string
 	bulletin            *bulletin
+	memoryMB, sockets   int
 	operator            string // text of an operator's file; empty = the command's own
 }
 
@@ -83,7 +84,7 @@
 	addr, peer := freePort("tcp"), freePort("udp")
 	text, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": addr, "seed": "8c1f30d27a5be964",
-		"limits":      map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits":      map[string]any{"cores": 1.0, "memory_mb": c.memoryMB, "sockets": c.sockets},
 		"peer_listen": peer, "peers": []string{peer}, "bulletin": c.bulletin.addr, "known": c.bulletin.known(),
 		"settings": json.RawMessage(siteSettings),
 	})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,8 @@
 type setup struct {
 	root, dir, temp string
 	trouble         bool
+	memoryMB        int // limits of the gateway
+	sockets         int
 	rec             *record
 }
 
@@ -32,7 +34,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER")
 		return couldNot
 	}
-	s := &setup{trouble: os.Getenv("TROUBLE") != "0"}
+	s := &setup{trouble: os.Getenv("TROUBLE") != "0", memoryMB: 192, sockets: 1024}
 	var err error
 	if s.root, err = filepath.Abs(os.Args[2]); err == nil {
 		s.dir, err = filepath.Abs(os.Args[3])
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -37,7 +37,8 @@
 	if w.bulletin, err = startBulletin(s.rec, w.list); err != nil {
 		return w, err
 	}
-	w.gateway, err = startGateway(gatewayConfig{root: s.root, temp: s.temp, caseDir: s.dir, bulletin: w.bulletin})
+	w.gateway, err = startGateway(gatewayConfig{root: s.root, temp: s.temp, caseDir: s.dir, bulletin: w.bulletin,
+		memoryMB: s.memoryMB, sockets: s.sockets})
 	if err != nil {
 		return w, err
 	}
