enginehttp: request a result again if bytes follow it

Callers got results "served" without their last rows. Cause: the reader of responses reports a response that bytes follow together with an error; the attempt closed the connection, but used the response as a good one with noise behind it. A Content-Length that is too short looks the same, and if it ends at the end of a row nothing else notices it.

A 200 that bytes follow now counts as malformed: the page is requested again on another connection. The engine gives a good end again when polled, so this repeats no query. The same holds for further pages and for chunked bodies.

TestInterimResponsesAndExtraBytesAreDiscarded asked for the fault: it wanted a result with bytes behind it to be served at once. It now wants the result to be requested again, and none to be served before a response without them.

--- a/internal/protocol/enginehttp/enginehttp_test.go
+++ b/internal/protocol/enginehttp/enginehttp_test.go
@@ -244,14 +244,72 @@
 	}
 }
 
-// Interim responses before a valid response are skipped. Unexpected bytes after it are discarded, and the connection is closed.
+// truncatedResponses are results whose body length is too short and ends with a complete row.
+func truncatedResponses(header string) map[string][]byte {
+	const rows = "a\tb\tc\nd\te\tf\n"
+	return map[string][]byte{
+		"short length":     []byte("HTTP/1.1 200 OK\r\n" + header + "\r\nContent-Length: 6\r\n\r\n" + rows),
+		"length 0":         []byte("HTTP/1.1 200 OK\r\n" + header + "\r\nContent-Length: 0\r\n\r\n" + rows),
+		"last chunk early": []byte("HTTP/1.1 200 OK\r\n" + header + "\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na\tb\tc\n\r\n0\r\n\r\nd\te\tf\n"),
+		"closed after it":  []byte("HTTP/1.1 200 OK\r\nConnection: close\r\n" + header + "\r\nContent-Length: 6\r\n\r\n" + rows),
+	}
+}
+
+// A result that bytes follow is requested again: they may be its last rows. Guards against results without their last rows being
+// served, which happened when a length that was too short ended with a row.
+func TestResultFollowedByBytesIsRequestedAgain(t *testing.T) {
+	var protocolState any
+	for name, truncated := range truncatedResponses("Page-Count: 1") {
+		t.Run("first page/"+name, func(t *testing.T) {
+			q := startQuery(t)
+			if steps := q.Received(attempt.Primary, truncated); endStep(steps) != nil || !opens(steps, attempt.Primary) {
+				t.Fatalf("after the truncated result: steps %+v, want a new connection and no end", steps)
+			}
+			if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET /v2/q/9b1f/0 ") {
+				t.Fatalf("wrote %q, want a poll", w)
+			}
+			e := endStep(q.Received(attempt.Primary, response(200, "a\tb\tc\nd\te\tf\n", "Page-Count: 1")))
+			if e == nil || string(e.Result) != "a\tb\tc\nd\te\tf\n" {
+				t.Errorf("end %+v, want the whole result", e)
+			}
+		})
+	}
+	for name, truncated := range truncatedResponses("Page-No: 1") {
+		t.Run("second page/"+name, func(t *testing.T) {
+			q := startQuery(t)
+			q.Received(attempt.Primary, response(200, "x\n", "Page-Count: 2"))
+			if steps := q.Received(attempt.Primary, truncated); endStep(steps) != nil || !opens(steps, attempt.Primary) {
+				t.Fatalf("after the truncated page: steps %+v, want a new connection and no end", steps)
+			}
+			if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET /v2/q/9b1f/1 ") {
+				t.Fatalf("wrote %q, want a request for page 1", w)
+			}
+			e := endStep(q.Received(attempt.Primary, response(200, "a\tb\tc\nd\te\tf\n", "Page-No: 1")))
+			if e == nil || string(e.Result) != "x\na\tb\tc\nd\te\tf\n" {
+				t.Errorf("end %+v, want the whole result", e)
+			}
+		})
+	}
+}
+
+// Interim responses before a valid response are skipped. If unexpected bytes follow it, they are discarded with the response, which
+// is requested again on a new connection; the query is not sent again.
 func TestInterimResponsesAndExtraBytesAreDiscarded(t *testing.T) {
+	var protocolState any
 	good := response(200, "a\n", "Page-Count: 1")
+	interim := []byte("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n")
 	for _, more := range [][]byte{good, []byte("noise")} {
-		b := append([]byte("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"), good...)
-		steps := startQuery(t).Received(attempt.Primary, append(b, more...))
-		if e := endStep(steps); e == nil || string(e.Result) != "a\n" || !closes(steps, attempt.Primary) {
-			t.Errorf("with extra bytes %q: steps %+v, want the result and a closed connection", more, steps)
+		q := startQuery(t)
+		steps := q.Received(attempt.Primary, slices.Concat(interim, good, more))
+		if endStep(steps) != nil || !closes(steps, attempt.Primary) || !opens(steps, attempt.Primary) {
+			t.Fatalf("with extra bytes %q: steps %+v, want a new connection and no end", more, steps)
+		}
+		if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET /v2/q/9b1f/0 ") {
+			t.Fatalf("wrote %q, want a poll", w)
+		}
+		steps = q.Received(attempt.Primary, slices.Concat(interim, good))
+		if e := endStep(steps); e == nil || string(e.Result) != "a\n" || closes(steps, attempt.Primary) {
+			t.Errorf("without extra bytes: steps %+v, want the result and a connection that stays open", steps)
 		}
 	}
 }
--- a/internal/protocol/enginehttp/query.go
+++ b/internal/protocol/enginehttp/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"time"
 
 	"frostpier/internal/attempt"
@@ -192,6 +193,8 @@
 	q.bytesReceived = q.bytesReceived || channel == attempt.Primary
 	res, err := q.readers[channel].Feed(b)
 	switch {
+	case res != nil && err != nil && res.Status == http.StatusOK: // its length may be too short
+		q.handleMalformed(channel)
 	case res != nil && q.awaitingResponse[channel]:
 		q.awaitingResponse[channel] = false
 		if res.Close || err != nil {
--- a/internal/protocol/enginehttp/reader.go
+++ b/internal/protocol/enginehttp/reader.go
@@ -43,7 +43,8 @@
 }
 
 // Feed parses received bytes and returns the response that they complete, or nil. After an error the connection must be closed.
-// If unexpected bytes follow a complete response, Feed returns both the response and an error.
+// If unexpected bytes follow a complete response, Feed returns both the response and an error. Its body may be incomplete then,
+// since the bytes may be the rest of it.
 func (r *Reader) Feed(b []byte) (*Response, error) {
 	r.buf = append(r.buf, b...)
 	for r.pending == nil {
