enginehttp: do not send a query again after a corrupt response

Callers of a class that must not run twice could have had their query run twice: the connection of its POST is lost before any response, the poll that follows has a corrupt response, and the engine then does not know the query (its pages are gone). Cause: the corrupt response did not clear the note that the engine may never have read the POST, so the POST was written again within the attempt.

handleMalformed clears it. The attempt ends with an error, and the class decides about a retry.

--- a/internal/protocol/enginehttp/enginehttp_test.go
+++ b/internal/protocol/enginehttp/enginehttp_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -421,6 +422,30 @@
 	})
 }
 
+// After a corrupt response, an engine that does not know the query is not sent it again: the response may have been its result.
+// Guards against a second execution of a query that must not run twice, which happened when the connection of its POST was lost
+// before any response and the poll then had a corrupt response.
+func TestQueryIsNotResentAfterCorruptResponse(t *testing.T) {
+	var protocolState any
+	corrupt := maps.Clone(corruptResponses)
+	maps.Copy(corrupt, truncatedResponses("Page-Count: 1"))
+	for name, b := range corrupt {
+		t.Run(name, func(t *testing.T) {
+			q := startQuery(t)
+			q.ConnectionLost(attempt.Primary)
+			q.Connected(attempt.Primary, &protocolState, permitted)
+			q.Received(attempt.Primary, b)
+			if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET /v2/q/9b1f/0 ") {
+				t.Fatalf("wrote %q, want a poll", w)
+			}
+			e := endStep(q.Received(attempt.Primary, response(500, "")))
+			if e == nil || e.Outcome != policy.Error || q.postsSent != 1 {
+				t.Errorf("end %+v after %d POSTs, want outcome Error after one", e, q.postsSent)
+			}
+		})
+	}
+}
+
 // After a cancellation, status 500 ends the attempt as cancelled, not as an engine error: when a poll races with the DELETE, the
 // engine responds to the poll with 500 because it no longer knows the query.
 func TestUnknownQueryConfirmsCancellation(t *testing.T) {
--- a/internal/protocol/enginehttp/responses.go
+++ b/internal/protocol/enginehttp/responses.go
@@ -70,7 +70,8 @@
 
 // handleMalformed handles a corrupt response. The query may still be running, and the connection cannot be used any more. The
 // engine resends the result of a successful query when polled, so the query is polled on a new connection. After
-// maxConsecutiveFailures it is cancelled and ends with an error.
+// maxConsecutiveFailures it is cancelled and ends with an error. The corrupt response may have been the query's result, so the
+// POST is not sent again.
 func (q *Query) handleMalformed(channel attempt.Channel) {
 	q.closeChannel(channel)
 	switch {
@@ -79,6 +80,7 @@
 	case q.state == fetchingPages:
 		q.retryPage()
 	case q.state == running:
+		q.possiblyUnread = false
 		q.consecutiveFailures++
 		if q.consecutiveFailures >= maxConsecutiveFailures {
 			q.cancelAtEngine(policy.Error)
