core, frontend: bound the memory of open queries

Callers got no answer when the platform killed the gateway for its memory: other clients had sent many large requests at once. Cause: the number of open queries was bounded, their bytes were not, on either front.

core counts the bytes that a listener holds for a query until its reply and the end of its attempt. An eighth of the memory limit may be used; a query that would exceed it is rejected at once, which is true since nothing ran. Queries of over 16 KB may use half of that, so that small ones find room.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -38,6 +38,7 @@
 	lastID       RequestID       // the ID assigned last
 	pending      int             // requests without a final reply
 	inFlight     int             // attempts that have not ended
+	heldBytes    int             // memory that the frontends hold for active requests
 	engines      map[policy.EngineID]*Engine
 	classes      map[string]int // class numbers by name
 	shuttingDown bool
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -24,6 +24,12 @@
 // the module checks deadlines only every few ticks.
 const deadlineToleranceTicks = 10
 
+// Limits of the memory of queries. Large queries together may use a part of what all queries may use.
+const (
+	largeQueryBytes   = 16 << 10
+	largeQueryDivisor = 2
+)
+
 // Query describes a query that a client submits.
 type Query struct {
 	Name              string // identifies the query at engines; empty = none. Must be unique among active requests.
@@ -33,6 +39,7 @@
 	EstimatedMemoryMB float64       // 0 = unknown
 	Remaining         time.Duration // time until the client's deadline
 	IsClientRetry     bool          // the client marked the query as a retry of an earlier one
+	Bytes             int           // memory that the frontend holds for the query until it and its attempts have ended
 }
 
 // request is a request that is pending or has an attempt in flight.
@@ -44,6 +51,7 @@
 	objective       time.Duration // latency objective, counted from submittedAt
 	attempts        []*attempt
 	inFlight        int // attempts that have not ended
+	heldBytes       int // Query.Bytes of an accepted query
 	replied         bool
 	responseStarted bool         // a part of the response was sent, so no further attempt is allowed
 	queueGuard      policy.Guard // the reason for queueing in the last debug record
@@ -67,18 +75,27 @@
 		r.name = q.Name
 		c.activeNames[q.Name] = true
 	}
-	if c.shuttingDown || c.overCapacity() {
+	if c.shuttingDown || c.overCapacity(q) {
 		return id, c.replyDirectly(now, id, Rejected, c.host.MaxRetryAfter)
 	}
+	r.heldBytes = q.Bytes
+	c.heldBytes += q.Bytes
 	return id, c.dispatch(now, policy.Arrival{
 		ID: id, Class: q.Class, TableGroup: q.TableGroup, EstimatedWork: q.EstimatedWork,
 		EstimatedMemoryMB: q.EstimatedMemoryMB, Remaining: q.Remaining, IsClientRetry: q.IsClientRetry,
 	})
 }
 
-// overCapacity reports whether more requests are pending than the settings allow.
-func (c *Core) overCapacity() bool {
-	return c.host.MaxPending > 0 && c.pending > c.host.MaxPending
+// overCapacity reports whether more requests are pending, or more of their bytes held, than the settings allow.
+func (c *Core) overCapacity(q Query) bool {
+	if c.host.MaxPending > 0 && c.pending > c.host.MaxPending {
+		return true
+	}
+	limit := c.host.MaxHeldBytes
+	if q.Bytes > largeQueryBytes { // large queries must leave room for the others
+		limit /= largeQueryDivisor
+	}
+	return c.host.MaxHeldBytes > 0 && c.heldBytes+q.Bytes > limit
 }
 
 // latencyObjective returns the time after which a reply is late. The part that depends on the query's work is based on an
@@ -169,5 +186,7 @@
 	if r.replied && r.inFlight == 0 {
 		delete(c.requests, id)
 		delete(c.activeNames, r.name)
+		c.heldBytes -= r.heldBytes
+		r.heldBytes = 0 // the end of an attempt may remove its request twice
 	}
 }
--- a/internal/program/setup.go
+++ b/internal/program/setup.go
@@ -34,8 +34,8 @@
 	minThreads      = 1
 )
 
-// bufferFraction is the divisor of the memory limit for the buffers of incomplete lines from clients, and also for those of
-// responses that wait to be written.
+// bufferFraction is the divisor of the memory limit for the buffers of incomplete lines from clients, for those of responses that
+// wait to be written, and for open queries. Each of the three has its own part.
 const bufferFraction = 8
 
 // setup contains the parsed configuration files of a gateway.
@@ -104,6 +104,7 @@
 	bufferLimit := memoryLimit(s.conf) / bufferFraction
 	loop := eventloop.New(time.Now(), bufferLimit)
 	invariants := invariant.New(log)
+	s.host.MaxHeldBytes = int(bufferLimit)
 	c, err := core.New(s.host, s.conf.SeedNumber(), log, invariants)
 	if err != nil {
 		return nil, err
--- a/internal/protocol/mysql/server_conn.go
+++ b/internal/protocol/mysql/server_conn.go
@@ -23,6 +23,14 @@
 	Execution      *Execution // nil for COM_QUERY
 }
 
+// Bytes returns the memory that the query holds, without the text of a prepared statement, which its connection holds.
+func (q *Query) Bytes() int {
+	if q.Execution == nil {
+		return len(q.Text)
+	}
+	return q.Execution.bytes()
+}
+
 // Event is an action that the driver of a ServerConn must execute. Exactly one field is set.
 type Event struct {
 	Write []byte // bytes for the client
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -37,6 +37,15 @@
 	longDataOrder []uint16
 }
 
+// bytes returns the memory that the execution holds besides the statement.
+func (e *Execution) bytes() int {
+	total := len(e.nullBitmap) + len(e.paramTypes) + len(e.paramValues)
+	for _, data := range e.longData {
+		total += len(data)
+	}
+	return total
+}
+
 // parseExecute parses the payload of COM_STMT_EXECUTE after the statement id. ok is false if it is malformed.
 func (s *statement) parseExecute(r *payloadReader) (execution *Execution, ok bool) {
 	r.byte()   // flags: ignored, since a cursor would bind the client to one engine; all rows are sent at once
--- a/internal/transport/frontend/fixture_test.go
+++ b/internal/transport/frontend/fixture_test.go
@@ -49,6 +49,12 @@
 )
 
 func newFixture(t *testing.T, budget int, engines ...*nettest.Engine) *fixture {
+	t.Helper()
+	return newFixtureWithMemory(t, budget, 0, engines...)
+}
+
+// newFixtureWithMemory returns a fixture that holds at most maxHeldBytes of open queries; 0 = no limit.
+func newFixtureWithMemory(t *testing.T, budget, maxHeldBytes int, engines ...*nettest.Engine) *fixture {
 	t.Helper()
 	loop, p := newPool(t, budget)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -58,7 +64,7 @@
 	keyed.Name, keyed.Idempotency, keyed.DedupWindow = keyedClass, policy.IdempotentWithKey, dedupWindow
 	invariants := invariant.New(log)
 	gatewayCore, err := core.New(settings.Host{MaxRetryAfter: 500 * time.Millisecond, MachineTypes: []string{"m"}, Zones: []string{"z"},
-		Policy: policy.Settings{Classes: []policy.Class{class, nonIdempotent, keyed}, MachineTypes: []policy.MachineType{{Cores: 8}}, Gateways: 1,
+		MaxHeldBytes: maxHeldBytes, Policy: policy.Settings{Classes: []policy.Class{class, nonIdempotent, keyed}, MachineTypes: []policy.MachineType{{Cores: 8}}, Gateways: 1,
 			Tick: 5 * time.Millisecond, MayCancel: true, MaxAttempts: 4}}, 1, log, invariants)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -104,7 +104,7 @@
 		group = core.SchemaGroup(query.Schema)
 	}
 	c.query = query
-	request := core.Query{Class: query.Account.Class, TableGroup: group, Remaining: query.Account.Budget}
+	request := core.Query{Class: query.Account.Class, TableGroup: group, Remaining: query.Account.Budget, Bytes: query.Bytes()}
 	c.listener.dispatcher.Submit(request, c, func(id core.RequestID) { c.id = id })
 }
 
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -93,6 +93,7 @@
 		EstimatedMemoryMB: call.EstimatedMemoryMB,
 		Remaining:         call.Budget,
 		IsClientRetry:     call.IsClientRetry,
+		Bytes:             len(call.Statement),
 	}
 	c.listener.dispatcher.Submit(query, &request{client: c, call: call}, func(id core.RequestID) { c.requests[call.ID] = id })
 }
