mysql: bound what client connections hold between queries

Callers could have lost their answers to a kill for memory. Cause, as for the platform's listener: each connection had limits of its own (a packet of 1 MB, also before the login; 256 prepared statements of 1 MB, 1 MB of long data each), all together had none.

mysql.Memory is shared by a listener's connections and has an eighth of the memory limit. Over it a connection keeps what it has, and 16 KB in any case; a prepare gets error 1461, long data is dropped as over its old limit, and an incomplete packet ends the connection with error 1041.

--- a/internal/program/setup.go
+++ b/internal/program/setup.go
@@ -35,7 +35,7 @@
 )
 
 // bufferFraction is the divisor of the memory limit for the buffers of incomplete lines from clients, for those of responses that
-// wait to be written, and for open queries. Each of the three has its own part.
+// wait to be written, for open queries, and for what MySQL clients hold between queries. Each of the four has its own part.
 const bufferFraction = 8
 
 // setup contains the parsed configuration files of a gateway.
@@ -147,6 +147,7 @@
 		if err != nil {
 			return err
 		}
+		config.MaxHeldBytes = int(memoryLimit(s.conf) / bufferFraction)
 		engines := enginepool.New(p.loop, p.log, s.host.ConnectTimeout, s.host.ConnIdleTimeout, sockets.mysqlEngines)
 		p.dispatcher.Pools = append(p.dispatcher.Pools, engines)
 		p.mysql = frontend.NewMySQLListener(p.dispatcher, engines, p.log, config)
--- a/internal/protocol/mysql/errcode.go
+++ b/internal/protocol/mysql/errcode.go
@@ -3,6 +3,7 @@
 // Error codes of ERR packets (MySQL documentation, "Server Error Message Reference").
 const (
 	erConCount               = 1040 // ER_CON_COUNT_ERROR: too many connections
+	erOutOfResources         = 1041 // ER_OUT_OF_RESOURCES
 	erAccessDenied           = 1045 // ER_ACCESS_DENIED_ERROR
 	erUnknownCommand         = 1047 // ER_UNKNOWN_COM_ERROR
 	erServerShutdown         = 1053 // ER_SERVER_SHUTDOWN
--- a/internal/protocol/mysql/golden_test.go
+++ b/internal/protocol/mysql/golden_test.go
@@ -37,7 +37,7 @@
 func TestServerConnTranscript(t *testing.T) {
 	t.Parallel()
 	var out strings.Builder
-	conn, greeting := NewServerConn(map[string]*Account{"u": {User: "u", PasswordHash: HashPassword("p"), Budget: time.Second}}, 1, scramble)
+	conn, greeting := NewServerConn(map[string]*Account{"u": {User: "u", PasswordHash: HashPassword("p"), Budget: time.Second}}, 1, scramble, NewMemory(maxCommandSize))
 	fmt.Fprintf(&out, "greeting %q\n", greeting)
 	for _, in := range slices.Concat([][]byte{loginBytes(t)}, goldenCommands()) {
 		fmt.Fprintf(&out, "in %q\n", in)
@@ -68,7 +68,7 @@
 	t.Parallel()
 	var out strings.Builder
 	record := func(event string, steps []attempt.Step) { out.WriteString(transcript.Steps(event, steps)) }
-	_, greeting := NewServerConn(nil, 1, scramble)
+	_, greeting := NewServerConn(nil, 1, scramble, NewMemory(0))
 	permission := func(bool) (time.Duration, bool) { return time.Second, true }
 	prepared := &Execution{Text: "SELECT ?", Params: 1, nullBitmap: []byte{0}, paramTypes: []byte{0xfd, 0}, paramValues: []byte("\x01x")}
 	prepareOK := slices.Concat(frame(1, []byte{0, 9, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0}), frame(2, []byte(definition)), eofPacket(3))
--- /dev/null
+++ b/internal/protocol/mysql/memory_test.go
@@ -0,0 +1,136 @@
+package mysql
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// testMemoryLimit is the memory that the connections of a test share.
+const testMemoryLimit = 4 * guaranteedBytes
+
+// loggedInConn returns a connection whose login is complete and which shares memory.
+func loggedInConn(t testing.TB, memory *Memory) *ServerConn {
+	t.Helper()
+	c := newServerConn(t)
+	c.memory = memory
+	c.Received(loginBytes(t))
+	if !c.LoggedIn() {
+		t.Fatal("the login was not accepted")
+	}
+	return c
+}
+
+// prepare prepares a statement of the given size and returns the error code of the response, or 0.
+func prepare(c *ServerConn, size int) int {
+	text := slices.Repeat([]byte("x"), size)
+	for _, e := range c.Received(commandPacket(comStmtPrepare, text)) {
+		if payload := e.Write[headerSize:]; payload[0] == errHeader {
+			return errPacketCode(payload)
+		}
+	}
+	return 0
+}
+
+// Prepared statements of all clients share a limit: over it, a client can prepare no more than its guaranteed memory, until others
+// have closed theirs or their connections. Guards against 256 statements of 1 MB for each connection, which take the process over its
+// memory limit.
+func TestPreparedStatementsShareMemoryLimit(t *testing.T) {
+	memory := NewMemory(testMemoryLimit)
+	first, second := loggedInConn(t, memory), loggedInConn(t, memory)
+	prepared, code := 0, 0
+	for ; code == 0 && prepared <= maxClientStatements; prepared++ {
+		code = prepare(first, guaranteedBytes/2)
+	}
+	if code != erMaxPreparedStatements || memory.Used() > testMemoryLimit {
+		t.Fatalf("error %d after %d statements with %d bytes held, want error %d and at most %d bytes",
+			code, prepared, memory.Used(), erMaxPreparedStatements, testMemoryLimit)
+	}
+	if code := prepare(second, guaranteedBytes/2); code != 0 {
+		t.Errorf("error %d for a statement within the guaranteed memory, want none", code)
+	}
+	if code := prepare(second, guaranteedBytes); code != erMaxPreparedStatements {
+		t.Errorf("error %d for a statement over the guaranteed memory, want %d", code, erMaxPreparedStatements)
+	}
+	first.Release()
+	if code := prepare(second, guaranteedBytes); code != 0 {
+		t.Errorf("error %d after the other connection had ended, want none", code)
+	}
+}
+
+// The bytes of incomplete packets share the limit too, before the login as well: over it, a connection is closed with an error. One
+// with a short packet is kept.
+func TestIncompletePacketsShareMemoryLimit(t *testing.T) {
+	for name, connect := range map[string]func(memory *Memory) *ServerConn{
+		"before the login": func(memory *Memory) *ServerConn { c := newServerConn(t); c.memory = memory; return c },
+		"command":          func(memory *Memory) *ServerConn { return loggedInConn(t, memory) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			memory := NewMemory(testMemoryLimit)
+			incomplete := commandPacket(comQuery, make([]byte, testMemoryLimit))[:testMemoryLimit-guaranteedBytes]
+			kept, closed, short := connect(memory), connect(memory), connect(memory)
+			if events := kept.Received(incomplete); len(events) != 0 {
+				t.Fatalf("events %+v within the limit, want none", events)
+			}
+			events := closed.Received(incomplete)
+			if len(events) != 2 || errPacketCode(events[0].Write[headerSize:]) != erOutOfResources || !events[1].Close {
+				t.Fatalf("events %+v over the limit, want error %d and a close", events, erOutOfResources)
+			}
+			if events := short.Received(incomplete[:guaranteedBytes/2]); len(events) != 0 {
+				t.Errorf("events %+v within the guaranteed memory, want none", events)
+			}
+		})
+	}
+}
+
+// Whatever clients send, the connections together hold at most the limit and their guaranteed memory, and nothing once they have
+// ended.
+func TestMemoryIsReleasedAfterRandomCommands(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		memory := NewMemory(testMemoryLimit)
+		var conns []*ServerConn
+		for range rapid.IntRange(1, 4).Draw(rt, "connections") {
+			conns = append(conns, loggedInConn(t, memory))
+		}
+		for range rapid.IntRange(1, 40).Draw(rt, "commands") {
+			c := rapid.SampledFrom(conns).Draw(rt, "connection")
+			c.Received(randomCommand(rt))
+			if rapid.Bool().Draw(rt, "query ends") {
+				c.QueryEnded()
+			}
+			if c.state == stateClosed {
+				c.Release()
+			}
+			if most := testMemoryLimit + len(conns)*guaranteedBytes; memory.Used() > most {
+				rt.Fatalf("%d bytes are held, want at most %d", memory.Used(), most)
+			}
+		}
+		for _, c := range conns {
+			c.Release()
+			c.QueryEnded()
+		}
+		if memory.Used() != 0 {
+			rt.Fatalf("%d bytes are held after all connections have ended, want none", memory.Used())
+		}
+	})
+}
+
+// randomCommand returns a command of up to guaranteedBytes about one of the first statements, possibly without its end.
+func randomCommand(rt *rapid.T) []byte {
+	code := rapid.SampledFrom([]byte{comQuery, comInitDB, comStmtPrepare, comStmtPrepare, comStmtExecute, comStmtSendLongData, comStmtClose,
+		comStmtReset}).Draw(rt, "command")
+	id := []byte{byte(rapid.IntRange(0, 6).Draw(rt, "statement")), 0, 0, 0}
+	text := slices.Repeat([]byte("?"), rapid.IntRange(0, guaranteedBytes).Draw(rt, "size"))
+	var out []byte
+	switch code {
+	case comQuery, comInitDB, comStmtPrepare:
+		out = commandPacket(code, text)
+	default:
+		out = commandPacket(code, id, []byte{0, 0}, text)
+	}
+	if rapid.IntRange(0, 9).Draw(rt, "incomplete") == 0 {
+		return out[:len(out)/2]
+	}
+	return out
+}
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -20,7 +20,7 @@
 // newServerConn returns a new connection with the account u and the password p.
 func newServerConn(t testing.TB) *ServerConn {
 	t.Helper()
-	conn, greeting := NewServerConn(map[string]*Account{"u": {User: "u", PasswordHash: HashPassword("p"), Budget: time.Second}}, 1, scramble)
+	conn, greeting := NewServerConn(map[string]*Account{"u": {User: "u", PasswordHash: HashPassword("p"), Budget: time.Second}}, 1, scramble, NewMemory(maxCommandSize))
 	if n := payloadLength(greeting); n != len(greeting)-headerSize {
 		t.Fatalf("handshake of %d bytes has length %d in its header", len(greeting)-headerSize, n)
 	}
@@ -30,7 +30,7 @@
 // loginBytes returns a client's handshake response. It is created with session, which implements the client side of the protocol.
 func loginBytes(t testing.TB) []byte {
 	t.Helper()
-	_, greeting := NewServerConn(nil, 1, scramble)
+	_, greeting := NewServerConn(nil, 1, scramble, NewMemory(0))
 	s := newSession()
 	out, err := s.handleLogin(packet{payload: greeting[headerSize:]}, credentials{"u", "p"})
 	if err != nil {
@@ -228,7 +228,7 @@
 
 // An exchange ends at most once and sends the query at most once, whatever the events and their order.
 func TestExchangeEndsAndSendsAtMostOnce(t *testing.T) {
-	_, greeting := NewServerConn(nil, 1, scramble)
+	_, greeting := NewServerConn(nil, 1, scramble, NewMemory(0))
 	parts := rapid.SampledFrom([][]byte{
 		greeting,
 		okPacket(2),
--- a/internal/protocol/mysql/server_conn.go
+++ b/internal/protocol/mysql/server_conn.go
@@ -61,17 +61,21 @@
 	idempotencyKey  string // idempotency key for the next query; empty for none
 	lastStatementID uint32
 	statements      map[uint32]*statement
+	memory          *Memory // shared with the other connections of the listener
+	reportedBytes   int     // memory that this connection has reported to memory
 	events          []Event
 }
 
 // NewServerConn returns the state machine of a new connection and the handshake packet to send to its client. accounts is keyed
-// by user, connectionID is the thread id in the handshake, and scramble must be 20 random bytes without a zero byte.
-func NewServerConn(accounts map[string]*Account, connectionID uint32, scramble []byte) (*ServerConn, []byte) {
+// by user, connectionID is the thread id in the handshake, and scramble must be 20 random bytes without a zero byte. memory is
+// shared by all connections of a listener.
+func NewServerConn(accounts map[string]*Account, connectionID uint32, scramble []byte, memory *Memory) (*ServerConn, []byte) {
 	c := &ServerConn{
 		accounts:   accounts,
 		scramble:   scramble,
 		packets:    framer{maxPayload: maxCommandSize},
 		statements: map[uint32]*statement{},
+		memory:     memory,
 	}
 	return c, handshakePacket(connectionID, scramble)
 }
@@ -129,6 +133,7 @@
 		}
 		c.handlePacket(p)
 	}
+	c.limitMemory()
 	events := c.events
 	c.events = nil
 	return events
--- a/internal/protocol/mysql/server_conn_commands.go
+++ b/internal/protocol/mysql/server_conn_commands.go
@@ -71,7 +71,7 @@
 		c.sendError(1, erNotSupportedYet, unsupportedStatementMessage)
 		return
 	}
-	if len(c.statements) >= maxClientStatements {
+	if len(c.statements) >= maxClientStatements || !c.mayHold(len(text)) {
 		c.sendError(1, erMaxPreparedStatements, "too many prepared statements")
 		return
 	}
@@ -127,7 +127,7 @@
 func (c *ServerConn) handleLongData(arguments *payloadReader) {
 	s := c.statements[arguments.uint32()]
 	param := arguments.uint16()
-	if s == nil || arguments.malformed {
+	if s == nil || arguments.malformed || !c.mayHold(len(arguments.remaining)) {
 		return
 	}
 	s.appendLongData(param, arguments.remaining)
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -37,6 +37,9 @@
 	longDataOrder []uint16
 }
 
+// bytesHeld returns the memory that the statement holds between executions.
+func (s *statement) bytesHeld() int { return len(s.text) + len(s.paramTypes) + s.longDataSize }
+
 // bytes returns the memory that the execution holds besides the statement.
 func (e *Execution) bytes() int {
 	total := len(e.nullBitmap) + len(e.paramTypes) + len(e.paramValues)
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -30,6 +30,7 @@
 	EnginePassword string                    // password of the gateway's account on engines
 	EnginePort     string                    // MySQL port of engines that are not in EngineAddrs
 	EngineAddrs    map[string]string         // MySQL addresses by engine name
+	MaxHeldBytes   int                       // memory that all clients together may hold between queries
 }
 
 // MySQLListener accepts clients that speak MySQL. Its methods are called on the loop.
@@ -40,6 +41,7 @@
 	pool         *enginepool.Pool
 	log          *slog.Logger
 	config       MySQLConfig
+	memory       *mysql.Memory
 	acceptor     *acceptor // nil while not listening
 	lastThreadID uint32    // thread ID (MySQL connection ID) of the newest connection
 	retryTimer   *eventloop.Timer
@@ -54,6 +56,7 @@
 		pool:         pool,
 		log:          log,
 		config:       config,
+		memory:       mysql.NewMemory(config.MaxHeldBytes),
 		loginTimeout: defaultLoginTimeout,
 	}
 }
@@ -106,7 +109,7 @@
 	}
 	l.lastThreadID++
 	c := &mysqlClient{listener: l, idleSince: l.dispatcher.Loop.Now()}
-	machine, greeting := mysql.NewServerConn(l.config.Accounts, l.lastThreadID, newScramble())
+	machine, greeting := mysql.NewServerConn(l.config.Accounts, l.lastThreadID, newScramble(), l.memory)
 	c.machine = machine
 	l.open[c] = true
 	c.conn = eventloop.NewConn(l.dispatcher.Loop, nc, c, mysqlWriteLimit)
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -32,9 +32,7 @@
 
 // Closed cancels the open query after the connection was lost.
 func (c *mysqlClient) Closed(error) {
-	c.loginTimer.Stop()
-	delete(c.listener.open, c)
-	c.cancelQuery()
+	c.remove()
 	c.listener.lingering.checkEmpty()
 }
 
@@ -47,8 +45,14 @@
 
 // close closes the connection gracefully and cancels its open query.
 func (c *mysqlClient) close() {
-	c.loginTimer.Stop()
 	c.listener.lingering.closeGracefully(c.conn)
+	c.remove()
+}
+
+// remove removes the connection from its listener and cancels its open query.
+func (c *mysqlClient) remove() {
+	c.loginTimer.Stop()
+	c.machine.Release()
 	delete(c.listener.open, c)
 	c.cancelQuery()
 }
