mysql: pooled connections do not hold the texts of their statements

Callers could have lost their answers to a kill for memory: a pooled connection to an engine kept the text of each statement that was prepared on it, up to 128 of 1 MB, as the key of the engine's statement id.

--- a/internal/protocol/mysql/exchange_setup.go
+++ b/internal/protocol/mysql/exchange_setup.go
@@ -90,9 +90,10 @@
 	x.setupQueue = append(x.setupQueue, setupCommand{packet: packet, response: response})
 }
 
-// preparedKey returns the key of the query's statement in session.statementIDs. It includes the schema, because names in a
-// statement are resolved in the schema in which it was prepared.
-func (x *Exchange) preparedKey() string { return x.query.Schema + "\x00" + x.query.Execution.Text }
+// preparedKey returns the key of the query's statement in session.statementIDs.
+func (x *Exchange) preparedKey() statementKey {
+	return newStatementKey(x.query.Schema, x.query.Execution.Text)
+}
 
 // sendNext sends the next setup command or, after the last one, the query.
 func (x *Exchange) sendNext() {
--- a/internal/protocol/mysql/memory_test.go
+++ b/internal/protocol/mysql/memory_test.go
@@ -1,10 +1,15 @@
 package mysql
 
 import (
+	"runtime"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"frostpier/internal/attempt"
 )
 
 // testMemoryLimit is the memory that the connections of a test share.
@@ -134,3 +139,41 @@
 	}
 	return out
 }
+
+// prepareOnSession executes a prepared statement without parameters on a session and returns it to the pool.
+func prepareOnSession(t *testing.T, s *session, text string) {
+	t.Helper()
+	x, _ := NewExchange(&Query{Account: &Account{}, Text: text, Execution: &Execution{Text: text}}, "u", "p")
+	var protocolState any = s
+	x.Connected(attempt.Primary, &protocolState, permitted)
+	x.Received(attempt.Primary, frame(1, make([]byte, minPrepareOK)))
+	steps := x.Received(attempt.Primary, okPacket(1))
+	if !slices.Contains(steps, attempt.Step(attempt.Release{Channel: attempt.Primary})) {
+		t.Fatalf("steps %+v, want the connection to be released", steps)
+	}
+}
+
+// heapBytes returns the memory of reachable objects.
+func heapBytes() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
+
+// A pooled session does not hold the texts of its prepared statements. Guards against connections that hold 128 statements of 1 MB each
+// after their queries have ended.
+func TestSessionDoesNotHoldStatementTexts(t *testing.T) {
+	const textBytes = 256 << 10
+	s := idleSession()
+	before := heapBytes()
+	for i := range maxSessionStatements {
+		prepareOnSession(t, s, strconv.Itoa(i)+strings.Repeat("x", textBytes))
+	}
+	if held := heapBytes() - before; held > 4*textBytes {
+		t.Errorf("a session with %d statements of %d bytes holds %d bytes, want at most %d", maxSessionStatements, textBytes, held, 4*textBytes)
+	}
+	if len(s.statementIDs) != maxSessionStatements {
+		t.Errorf("%d statements known, want %d", len(s.statementIDs), maxSessionStatements)
+	}
+}
--- a/internal/protocol/mysql/session.go
+++ b/internal/protocol/mysql/session.go
@@ -1,6 +1,7 @@
 package mysql
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
 )
@@ -16,11 +17,21 @@
 	responseSent  bool // the handshake response was sent
 	connectionID  uint32
 	schema        string
-	statementIDs  map[string]uint32 // the engine's statement ids, by Exchange.preparedKey
+	statementIDs  map[statementKey]uint32 // the engine's statement ids
+}
+
+// statementKey identifies a statement that is prepared on a session. It is a hash, since sessions are kept between queries and would
+// otherwise hold the texts of all their statements.
+type statementKey [sha256.Size]byte
+
+// newStatementKey returns the key of a statement. It depends on the schema, because names in a statement are resolved in the schema in
+// which it was prepared.
+func newStatementKey(schema, text string) statementKey {
+	return sha256.Sum256([]byte(schema + "\x00" + text))
 }
 
 func newSession() *session {
-	return &session{packets: framer{maxPayload: maxNonRowPacket}, statementIDs: map[string]uint32{}}
+	return &session{packets: framer{maxPayload: maxNonRowPacket}, statementIDs: map[statementKey]uint32{}}
 }
 
 // credentials are those of the gateway's account on the engines.
