mysql: an execute whose long data was lost in part fails

Callers could have loaded a value without its end: a part of the long data that is over the limit was dropped, since its command has no response, and the execute ran with the parts before it. The comment expected it to fail because the value is missing, which holds only for the first part. Found by reading; no run showed it.

A statement that has lost a part takes no more and its next execute gets error 1041 (nothing ran). The execute and COM_STMT_RESET clear it.

--- a/internal/protocol/mysql/server_conn_commands.go
+++ b/internal/protocol/mysql/server_conn_commands.go
@@ -114,23 +114,28 @@
 		c.sendError(1, erUnknownStatement, unknownStatementMessage)
 		return
 	}
+	longDataLost := s.longDataLost
 	execution, ok := s.parseExecute(arguments)
 	if !ok {
 		c.sendError(1, erMalformedPacket, "malformed execute")
 		return
 	}
 	s.clearLongData()
+	if longDataLost {
+		c.sendError(1, erOutOfResources, "nothing ran: the long data of the statement is more than the gateway holds")
+		return
+	}
 	c.startQuery(&Query{Text: s.text, Execution: execution})
 }
 
-// handleLongData handles COM_STMT_SEND_LONG_DATA. The command has no response, so data that cannot be stored is dropped.
+// handleLongData handles COM_STMT_SEND_LONG_DATA. The command has no response; the next execute reports data that was lost.
 func (c *ServerConn) handleLongData(arguments *payloadReader) {
 	s := c.statements[arguments.uint32()]
 	param := arguments.uint16()
-	if s == nil || arguments.malformed || !c.mayHold(len(arguments.remaining)) {
+	if s == nil || arguments.malformed {
 		return
 	}
-	s.appendLongData(param, arguments.remaining)
+	s.appendLongData(param, arguments.remaining, c.mayHold)
 }
 
 func (c *ServerConn) handleReset(arguments *payloadReader) {
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -24,6 +24,7 @@
 	longData      map[uint16][]byte // by parameter, received since the last execute
 	longDataOrder []uint16          // parameters with long data, in order of first receipt
 	longDataSize  int               // bytes
+	longDataLost  bool              // a part of the long data was dropped, so that the next execute must fail
 }
 
 // Execution is one execution of a prepared statement, in a form that is independent of the engine.
@@ -78,10 +79,14 @@
 	}
 }
 
-// appendLongData appends to the long data of a parameter. Data of an invalid parameter, or over the size limit, is dropped: the
-// command has no response, and the execute fails later because the value is missing.
-func (s *statement) appendLongData(param uint16, data []byte) {
-	if int(param) >= s.params || s.longDataSize+len(data) > maxCommandSize {
+// appendLongData appends to the long data of a parameter. Data of an invalid parameter is dropped. Data over the size limit, or over
+// what mayHold admits, is lost: the command has no response, so that the next execute reports it.
+func (s *statement) appendLongData(param uint16, data []byte, mayHold func(bytes int) bool) {
+	if int(param) >= s.params {
+		return
+	}
+	if s.longDataLost || s.longDataSize+len(data) > maxCommandSize || !mayHold(len(data)) {
+		s.longDataLost = true
 		return
 	}
 	if s.longData == nil {
@@ -94,7 +99,9 @@
 	s.longDataSize += len(data)
 }
 
-func (s *statement) clearLongData() { s.longData, s.longDataOrder, s.longDataSize = nil, nil, 0 }
+func (s *statement) clearLongData() {
+	s.longData, s.longDataOrder, s.longDataSize, s.longDataLost = nil, nil, 0, false
+}
 
 // executePacket returns COM_STMT_EXECUTE for an engine that prepared the statement under the given id. It always binds the
 // parameter types, since this engine may not have received them before.
