--- a/internal/protocol/mysql/golden_test.go
+++ b/internal/protocol/mysql/golden_test.go
@@ -37,7 +37,7 @@
 func TestServerConnTranscript(t *testing.T) {
 	t.Parallel()
 	var out strings.Builder
-	conn, greeting := NewServerConn(map[string]*Account{"u": {User: "u", PasswordHash: HashPassword("p"), Budget: time.Second}}, 1, scramble, NewMemory(maxCommandSize))
+	conn, greeting := NewServerConn(testAccounts, 1, scramble, NewMemory(maxCommandSize))
 	fmt.Fprintf(&out, "greeting %q\n", greeting)
 	for _, in := range slices.Concat([][]byte{loginBytes(t)}, goldenCommands()) {
 		fmt.Fprintf(&out, "in %q\n", in)
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -17,10 +17,13 @@
 
 var scramble = []byte("abcdefghijklmnopqrst")
 
+// testAccounts has the account u with the password p.
+var testAccounts = map[string]*Account{"u": {User: "u", PasswordHash: HashPassword("p"), Budget: time.Second}}
+
 // newServerConn returns a new connection with the account u and the password p.
 func newServerConn(t testing.TB) *ServerConn {
 	t.Helper()
-	conn, greeting := NewServerConn(map[string]*Account{"u": {User: "u", PasswordHash: HashPassword("p"), Budget: time.Second}}, 1, scramble, NewMemory(maxCommandSize))
+	conn, greeting := NewServerConn(testAccounts, 1, scramble, NewMemory(maxCommandSize))
 	if n := payloadLength(greeting); n != len(greeting)-headerSize {
 		t.Fatalf("handshake of %d bytes has length %d in its header", len(greeting)-headerSize, n)
 	}
--- a/internal/transport/frontend/fixture_test.go
+++ b/internal/transport/frontend/fixture_test.go
@@ -63,9 +63,11 @@
 	nonIdempotent.Name, nonIdempotent.Idempotency = nonIdempotentClass, policy.NotIdempotent
 	keyed.Name, keyed.Idempotency, keyed.DedupWindow = keyedClass, policy.IdempotentWithKey, dedupWindow
 	invariants := invariant.New(log)
-	gatewayCore, err := core.New(settings.Host{MaxRetryAfter: 500 * time.Millisecond, MachineTypes: []string{"m"}, Zones: []string{"z"},
-		MaxHeldBytes: maxHeldBytes, Policy: policy.Settings{Classes: []policy.Class{class, nonIdempotent, keyed}, MachineTypes: []policy.MachineType{{Cores: 8}}, Gateways: 1,
-			Tick: 5 * time.Millisecond, MayCancel: true, MaxAttempts: 4}}, 1, log, invariants)
+	module := policy.Settings{Classes: []policy.Class{class, nonIdempotent, keyed}, MachineTypes: []policy.MachineType{{Cores: 8}}, Gateways: 1,
+		Tick: 5 * time.Millisecond, MayCancel: true, MaxAttempts: 4}
+	host := settings.Host{MaxRetryAfter: 500 * time.Millisecond, MachineTypes: []string{"m"}, Zones: []string{"z"},
+		MaxHeldBytes: maxHeldBytes, Policy: module}
+	gatewayCore, err := core.New(host, 1, log, invariants)
 	if err != nil {
 		t.Fatal(err)
 	}
