enginehttp: request an empty page twice before it is taken

Callers got an empty result for a query with rows, if its length was 0 by mistake and the engine wrote the header and the rows separately: the response was complete with its header, before the rows arrived.

A page without rows is requested a second time, on the same connection where it is still open. Rows that follow the first response precede the second and make it corrupt. An empty result of a cancelled attempt is discarded, as one of several pages is.

TestEmptyResultIsRequestedTwice fails before in all cases.

--- a/internal/protocol/enginehttp/corrupt_test.go
+++ b/internal/protocol/enginehttp/corrupt_test.go
@@ -190,6 +190,49 @@
 	}
 }
 
+// A page without rows is requested twice on its connection: its length may be 0 by mistake, and its rows may arrive later than the
+// header. Guards against an empty result being served for a query with rows, which happened when an engine wrote the header and the
+// rows separately.
+func TestEmptyResultIsRequestedTwice(t *testing.T) {
+	var protocolState any
+	empty := response(200, "", "Page-Count: 1")
+	for name, arriveLate := range lateRests {
+		t.Run(name, func(t *testing.T) {
+			q := startQuery(t)
+			if w := written(q.Received(attempt.Primary, empty)); !strings.HasPrefix(w, "GET /v2/q/9b1f/0 ") {
+				t.Fatalf("wrote %q after an empty result, want a poll", w)
+			}
+			if steps := arriveLate(q); endStep(steps) != nil || !opens(steps, attempt.Primary) {
+				t.Fatalf("after the late rows: steps %+v, want a new connection and no end", steps)
+			}
+			q.Connected(attempt.Primary, &protocolState, permitted)
+			again := *q
+			if e := endStep(again.Received(attempt.Primary, empty)); e != nil {
+				t.Errorf("after another empty result: end %+v, want none", e)
+			}
+			e := endStep(q.Received(attempt.Primary, response(200, "rest\n", "Page-Count: 1")))
+			if e == nil || string(e.Result) != "rest\n" {
+				t.Errorf("end %+v, want the rows", e)
+			}
+		})
+	}
+	for name, headers := range map[string][]string{"open": {"Page-Count: 1"}, "closed": {"Page-Count: 1", "Connection: close"}} {
+		t.Run("no rows, connection "+name, func(t *testing.T) {
+			q := startQuery(t)
+			if steps := q.Received(attempt.Primary, response(200, "", headers...)); endStep(steps) != nil {
+				t.Fatalf("after the first empty result: steps %+v, want no end", steps)
+			}
+			if name == "closed" {
+				q.Connected(attempt.Primary, &protocolState, permitted)
+			}
+			e := endStep(q.Received(attempt.Primary, response(200, "", headers...)))
+			if e == nil || e.Outcome != policy.OK || len(e.Result) != 0 {
+				t.Errorf("after the second empty result: end %+v, want an empty result", e)
+			}
+		})
+	}
+}
+
 // If noise follows a page each time, the attempt ends with an error after maxConsecutiveFailures, although the page itself is
 // received each time.
 func TestNoiseAfterPagesEndsWithError(t *testing.T) {
--- a/internal/protocol/enginehttp/pages.go
+++ b/internal/protocol/enginehttp/pages.go
@@ -16,7 +16,7 @@
 		return
 	}
 	q.emit(attempt.SetTimer{Timer: attempt.UnreachableTimeout, After: 0})
-	if q.state == cancelling && pageCount > 1 { // the DELETE discards the remaining pages
+	if q.state == cancelling && (pageCount > 1 || len(res.Body) == 0) { // the DELETE discards what would have to be requested
 		q.end(q.cancelOutcome)
 		return
 	}
@@ -52,12 +52,26 @@
 	switch {
 	case q.resultBytes > maxResultBytes:
 		q.end(policy.Error)
+	case len(body) == 0 && !q.emptyPageSeen:
+		q.emptyPageSeen = true
+		q.discardLastPage()
+		q.requestNext()
 	case len(q.pages) == q.pageCount:
 		q.end(policy.OK)
-	case q.connected[attempt.Primary]:
-		q.requestPage()
 	default:
+		q.requestNext()
+	}
+}
+
+// requestNext requests the next page, on the current connection if there is one.
+func (q *Query) requestNext() {
+	switch {
+	case !q.connected[attempt.Primary]:
 		q.emit(attempt.Open{Channel: attempt.Primary})
+	case q.state == running:
+		q.poll()
+	default:
+		q.requestPage()
 	}
 }
 
--- a/internal/protocol/enginehttp/query.go
+++ b/internal/protocol/enginehttp/query.go
@@ -84,6 +84,9 @@
 	// lastPageUnverified is set while the rest of the last page could still arrive on the primary connection: a body length that
 	// is too short is noticed only by the bytes that precede the next response.
 	lastPageUnverified bool
+	// emptyPageSeen is set after a page without rows, until other bytes than a valid response follow. Such a page is requested twice, since its rows
+	// may follow a length of 0 later than the header: they would precede the second response.
+	emptyPageSeen bool
 }
 
 var _ attempt.StateMachine = (*Query)(nil)
@@ -112,8 +115,11 @@
 		return q.flush(attempt.Release{Channel: channel})
 	}
 	q.connected[channel] = true
+	if channel == attempt.Primary {
+		q.lastPageUnverified = false
+		q.emptyPageSeen = q.emptyPageSeen && q.readers[channel].Idle()
+	}
 	q.readers[channel] = Reader{}
-	q.lastPageUnverified = q.lastPageUnverified && channel != attempt.Primary
 	if channel == attempt.Control {
 		q.write(attempt.Control, q.formatRequest("DELETE", ""))
 		return q.flush()
--- a/internal/protocol/enginehttp/responses.go
+++ b/internal/protocol/enginehttp/responses.go
@@ -74,6 +74,7 @@
 // POST is not sent again.
 func (q *Query) handleMalformed(channel attempt.Channel) {
 	q.closeChannel(channel)
+	q.emptyPageSeen = q.emptyPageSeen && channel != attempt.Primary
 	switch {
 	case channel == attempt.Control:
 		q.emit(attempt.SetTimer{Timer: attempt.RetryBackoff, After: retryBackoff})
