mysql: a prepared query counts the text of its statement

Callers could have lost their answers to a kill for memory: the text of a prepared statement counted with its connection only, while an attempt uses it until the engine confirms the end of the query. Clients that connect, execute and go held up to 1 MB each for up to 5 s that counted nowhere. Found by reading; no run showed it.

Query.Bytes includes the text. While the connection is open it counts twice.

TestQueryBytesIncludeStatementAndValues fails before (the prepared query had fewer bytes than its text) and passes now.

--- a/internal/protocol/mysql/memory_test.go
+++ b/internal/protocol/mysql/memory_test.go
@@ -140,6 +140,27 @@
 	return out
 }
 
+// The memory of a query includes all that its attempt uses: the statement, also a prepared one, whose connection may end before the
+// attempt does, and the values. Otherwise clients that connect, execute and go hold memory that counts nowhere.
+func TestQueryBytesIncludeStatementAndValues(t *testing.T) {
+	c := loggedInConn(t, NewMemory(testMemoryLimit))
+	const text = "INSERT INTO t VALUES (?)"
+	c.Received(commandPacket(comStmtPrepare, []byte(text)))
+	sendLongData(c, []byte("abc"))
+	prepared, _ := execute(t, c)
+	c.QueryEnded()
+	events := c.Received(commandPacket(comQuery, []byte(text)))
+	if prepared == nil || len(events) != 1 || events[0].Query == nil {
+		t.Fatalf("query %+v and events %+v, want two queries", prepared, events)
+	}
+	if n := events[0].Query.Bytes(); n != len(text) {
+		t.Errorf("a query of %d bytes, want %d", n, len(text))
+	}
+	if n, least := prepared.Bytes(), len(text)+len("abc"); n < least {
+		t.Errorf("a prepared query of %d bytes, want at least %d", n, least)
+	}
+}
+
 // prepareOnSession executes a prepared statement without parameters on a session and returns it to the pool.
 func prepareOnSession(t *testing.T, s *session, text string) {
 	t.Helper()
--- a/internal/protocol/mysql/server_conn.go
+++ b/internal/protocol/mysql/server_conn.go
@@ -23,12 +23,13 @@
 	Execution      *Execution // nil for COM_QUERY
 }
 
-// Bytes returns the memory that the query holds, without the text of a prepared statement, which its connection holds.
+// Bytes returns the memory that the query holds. The text of a prepared statement is included, since an attempt may use it longer than
+// the client's connection.
 func (q *Query) Bytes() int {
 	if q.Execution == nil {
 		return len(q.Text)
 	}
-	return q.Execution.bytes()
+	return len(q.Text) + q.Execution.bytes()
 }
 
 // Event is an action that the driver of a ServerConn must execute. Exactly one field is set.
