mysql: bound the metadata of results that is held back

Callers could have lost their answers to a kill for memory: the column definitions of a result are held back until its first row, up to 1 MB for each attempt, and a client chooses its columns. All attempts together had no limit.

The metadata shares the memory of the listener's connections. Over it, and over 16 KB for the result, the query is killed and fails, as one whose metadata is over 1 MB.

TestResultMetadataSharesMemoryLimit fails with the check taken out (no kill over the limit) and passes now.

--- a/internal/protocol/mysql/exchange.go
+++ b/internal/protocol/mysql/exchange.go
@@ -1,6 +1,7 @@
 package mysql
 
 import (
+	"fmt"
 	"time"
 
 	"frostpier/internal/attempt"
@@ -43,14 +44,17 @@
 	definitionsLeft int // outstanding packets of a COM_STMT_PREPARE response
 	statementID     uint32
 	result          resultStream
+	memory          *Memory        // shared with the listener's connections
+	metadataBytes   int            // memory of the result's metadata that is reported to memory
 	outcome         policy.Outcome // outcome of the attempt when the kill is confirmed
 	killSent        bool
 	steps           []attempt.Step
 }
 
-// NewExchange returns an exchange for one attempt of query and its first steps. It logs in to the engine as user.
-func NewExchange(query *Query, user, password string) (*Exchange, []attempt.Step) {
-	x := &Exchange{query: query, credentials: credentials{user, password}}
+// NewExchange returns an exchange for one attempt of query and its first steps. It logs in to the engine as user. memory limits the
+// metadata of results, which is held back until the first row.
+func NewExchange(query *Query, user, password string, memory *Memory) (*Exchange, []attempt.Step) {
+	x := &Exchange{query: query, credentials: credentials{user, password}, memory: memory}
 	x.emit(attempt.Open{Channel: attempt.Primary})
 	return x, x.flush()
 }
@@ -207,6 +211,9 @@
 // handleResult handles bytes of the query's result. While the query is being killed, the end of the result confirms the kill.
 func (x *Exchange) handleResult(b []byte) {
 	relay, last, err := x.result.received(b)
+	if memoryErr := x.holdMetadata(); err == nil {
+		err = memoryErr
+	}
 	if x.phase == phaseQuerySent && len(relay) > 0 {
 		x.emit(attempt.SetTimer{Timer: attempt.ResponseTimeout, After: resultIdleTimeout}, attempt.Relay{Bytes: relay})
 	}
@@ -227,6 +234,17 @@
 	}
 }
 
+// holdMetadata reports the memory of the result's metadata. It returns an error if more is held than is admitted.
+func (x *Exchange) holdMetadata() error {
+	held := len(x.result.metadata)
+	admitted := held <= x.metadataBytes || x.memory.admits(x.metadataBytes, held-x.metadataBytes)
+	x.memory.report(&x.metadataBytes, held)
+	if !admitted {
+		return fmt.Errorf("%w: %d bytes of result metadata exceed the memory of all", errMalformedPacket, held)
+	}
+	return nil
+}
+
 // outcomeOfError returns the outcome for an engine's error code. Most errors are about the statement itself; these are a valid
 // result (OK), which is relayed to the client unchanged.
 func outcomeOfError(code int) policy.Outcome {
@@ -267,6 +285,7 @@
 	}
 	reusable := x.primaryReusable()
 	x.phase = phaseFinished
+	x.memory.report(&x.metadataBytes, 0)
 	for timer := range attempt.TimerCount {
 		x.emit(attempt.SetTimer{Timer: timer})
 	}
--- a/internal/protocol/mysql/golden_test.go
+++ b/internal/protocol/mysql/golden_test.go
@@ -75,7 +75,7 @@
 	for _, execution := range []*Execution{nil, prepared} {
 		var protocolState [2]any
 		query := &Query{Account: &Account{}, Text: "SELECT ?", Schema: "s", IdempotencyKey: "'k'", Execution: execution}
-		x, steps := NewExchange(query, "u", "p")
+		x, steps := NewExchange(query, "u", "p", NewMemory(0))
 		record("new", steps)
 		record("opened", x.Connected(attempt.Primary, &protocolState[0], permission))
 		record("greeting", x.Received(attempt.Primary, greeting))
--- a/internal/protocol/mysql/memory.go
+++ b/internal/protocol/mysql/memory.go
@@ -1,10 +1,10 @@
 package mysql
 
-// guaranteedBytes is the memory that each client connection may hold even if all connections together exceed their limit.
+// guaranteedBytes is the memory that each client connection, and each result, may hold even if all together exceed their limit.
 const guaranteedBytes = 16 << 10
 
-// Memory limits what all client connections of a listener hold while no query runs: incomplete packets, pipelined commands, prepared
-// statements, their long data, and the session's names. Open queries are not included.
+// Memory limits what a listener's client connections together hold while no query runs (incomplete packets, pipelined commands, prepared
+// statements, their long data, and the session's names), and the metadata of results that is held back. Open queries are not included.
 type Memory struct {
 	limit int // bytes
 	used  int // bytes
@@ -13,14 +13,20 @@
 // NewMemory returns a Memory of limit bytes.
 func NewMemory(limit int) *Memory { return &Memory{limit: limit} }
 
-// Used returns the bytes that all connections hold.
+// Used returns the bytes that are held.
 func (m *Memory) Used() int { return m.used }
 
-// admits reports whether a connection that holds this many bytes may hold more.
+// admits reports whether a holder of this many bytes may hold more.
 func (m *Memory) admits(held, more int) bool {
 	return held+more <= guaranteedBytes || m.used+more <= m.limit
 }
 
+// report replaces the number of bytes that a holder has reported.
+func (m *Memory) report(reported *int, held int) {
+	m.used += held - *reported
+	*reported = held
+}
+
 // bytesHeld returns the memory that the connection holds while no query runs.
 func (c *ServerConn) bytesHeld() int {
 	total := len(c.packets.buf) + len(c.user) + len(c.schema) + len(c.idempotencyKey)
@@ -30,15 +36,9 @@
 	return total
 }
 
-// reportMemory updates the memory that the connection has reported to its listener's Memory.
-func (c *ServerConn) reportMemory(held int) {
-	c.memory.used += held - c.reportedBytes
-	c.reportedBytes = held
-}
-
 // mayHold reports whether the connection may hold this many bytes more.
 func (c *ServerConn) mayHold(more int) bool {
-	c.reportMemory(c.bytesHeld())
+	c.memory.report(&c.reportedBytes, c.bytesHeld())
 	return c.memory.admits(c.reportedBytes, more)
 }
 
@@ -49,7 +49,7 @@
 	}
 	held := c.bytesHeld()
 	admitted := held <= c.reportedBytes || c.memory.admits(c.reportedBytes, held-c.reportedBytes)
-	c.reportMemory(held)
+	c.memory.report(&c.reportedBytes, held)
 	if admitted {
 		return
 	}
@@ -62,5 +62,5 @@
 // Release frees the memory of a connection that has ended. The connection handles nothing afterwards.
 func (c *ServerConn) Release() {
 	c.state = stateClosed
-	c.reportMemory(0)
+	c.memory.report(&c.reportedBytes, 0)
 }
--- a/internal/protocol/mysql/memory_test.go
+++ b/internal/protocol/mysql/memory_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"frostpier/internal/attempt"
+	"frostpier/policy"
 )
 
 // testMemoryLimit is the memory that the connections of a test share.
@@ -164,7 +165,7 @@
 // prepareOnSession executes a prepared statement without parameters on a session and returns it to the pool.
 func prepareOnSession(t *testing.T, s *session, text string) {
 	t.Helper()
-	x, _ := NewExchange(&Query{Account: &Account{}, Text: text, Execution: &Execution{Text: text}}, "u", "p")
+	x, _ := NewExchange(&Query{Account: &Account{}, Text: text, Execution: &Execution{Text: text}}, "u", "p", NewMemory(0))
 	var protocolState any = s
 	x.Connected(attempt.Primary, &protocolState, permitted)
 	x.Received(attempt.Primary, frame(1, make([]byte, minPrepareOK)))
@@ -174,6 +175,54 @@
 	}
 }
 
+// startResult starts a query and receives the metadata of a result with the given number of columns. It returns the steps after that.
+func startResult(memory *Memory, columns int) (*Exchange, []attempt.Step) {
+	x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", memory)
+	var protocolState any = idleSession()
+	x.Connected(attempt.Primary, &protocolState, permitted)
+	metadata := frame(1, []byte{0xfc, byte(columns), byte(columns >> 8)})
+	for i := range columns {
+		metadata = append(metadata, frame(byte(2+i), []byte(definition))...)
+	}
+	return x, x.Received(attempt.Primary, metadata)
+}
+
+// killsQuery reports whether steps open the connection on which the query is killed.
+func killsQuery(steps []attempt.Step) bool {
+	return slices.ContainsFunc(steps, func(s attempt.Step) bool {
+		o, ok := s.(attempt.Open)
+		return ok && o.Channel == attempt.Control
+	})
+}
+
+// The metadata of all results that is held back until their first rows shares the memory limit: over it, the query is killed, until
+// another result has ended. Guards against queries with thousands of columns, whose results hold 1 MB each.
+func TestResultMetadataSharesMemoryLimit(t *testing.T) {
+	const columns = 3 * guaranteedBytes / (headerSize + len(definition))
+	memory := NewMemory(testMemoryLimit)
+	if _, steps := startResult(memory, columns); killsQuery(steps) {
+		t.Fatalf("steps %+v within the limit, want no kill", steps)
+	}
+	if _, steps := startResult(memory, columns); !killsQuery(steps) {
+		t.Fatalf("steps %+v over the limit, want a kill", steps)
+	}
+	if _, steps := startResult(memory, columns/4); killsQuery(steps) {
+		t.Errorf("steps %+v within the guaranteed memory, want no kill", steps)
+	}
+	memory = NewMemory(testMemoryLimit)
+	first, _ := startResult(memory, columns)
+	first.Received(attempt.Primary, slices.Concat(eofPacket(2), frame(3, []byte("\x01a"))))
+	if memory.Used() != 0 {
+		t.Errorf("%d bytes are held after the first row, want none", memory.Used())
+	}
+	killed, _ := startResult(memory, columns)
+	killed.Cancel(policy.Cancelled)
+	killed.TimerFired(attempt.UnreachableTimeout)
+	if memory.Used() != 0 {
+		t.Errorf("%d bytes are held after the attempt, want none", memory.Used())
+	}
+}
+
 // heapBytes returns the memory of reachable objects.
 func heapBytes() int {
 	runtime.GC()
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -249,7 +249,7 @@
 		if rapid.Bool().Draw(rt, "prepared") {
 			query.Execution = &Execution{Text: "SELECT ?", Params: 1, nullBitmap: []byte{0}, paramTypes: []byte{0xfd, 0}}
 		}
-		x, _ := NewExchange(query, "u", "p")
+		x, _ := NewExchange(query, "u", "p", NewMemory(0))
 		var protocolState [2]any
 		ends, queries := 0, 0
 		for range rapid.IntRange(1, 30).Draw(rt, "events") {
@@ -294,7 +294,7 @@
 // A connection whose query was killed is never released, even after its result was read to the end: a late KILL QUERY would end
 // the next query on it.
 func TestKilledConnectionIsNotReused(t *testing.T) {
-	x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p")
+	x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", NewMemory(0))
 	var protocolState any = idleSession()
 	x.Connected(attempt.Primary, &protocolState, permitted)
 	x.Cancel(policy.Cancelled)
@@ -316,7 +316,7 @@
 		return slices.ContainsFunc(steps, func(s attempt.Step) bool { _, end := s.(attempt.End); return end })
 	}
 	queryInFlight := func() (x *Exchange, control any) {
-		x, _ = NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p")
+		x, _ = NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", NewMemory(0))
 		var primary any = idleSession()
 		x.Connected(attempt.Primary, &primary, permitted)
 		return x, idleSession()
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -115,7 +115,7 @@
 // StartAttempt starts an attempt of the query on an engine.
 func (c *mysqlClient) StartAttempt(start core.StartAttempt) dispatcher.Attempt {
 	l := c.listener
-	machine, steps := mysql.NewExchange(c.query, l.config.EngineUser, l.config.EnginePassword)
+	machine, steps := mysql.NewExchange(c.query, l.config.EngineUser, l.config.EnginePassword, l.memory)
 	c.attempt = dispatcher.StartAttempt(l.dispatcher, l.pool, start, l.engineAddr(start.Engine), machine, steps, c.relay)
 	return c.attempt
 }
