--- a/internal/protocol/enginehttp/corrupt_test.go
+++ b/internal/protocol/enginehttp/corrupt_test.go
@@ -101,40 +101,37 @@
 // A result that bytes follow is requested again: they may be its last rows. Guards against results without their last rows being
 // served, which happened when a length that was too short ended with a row.
 func TestResultFollowedByBytesIsRequestedAgain(t *testing.T) {
-	var protocolState any
+	const rows = "a\tb\tc\nd\te\tf\n"
 	for name, truncated := range truncatedResponses("Page-Count: 1") {
 		t.Run("first page/"+name, func(t *testing.T) {
-			q := startQuery(t)
-			if steps := q.Received(attempt.Primary, truncated); endStep(steps) != nil || !opens(steps, attempt.Primary) {
-				t.Fatalf("after the truncated result: steps %+v, want a new connection and no end", steps)
-			}
-			if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET /v2/q/9b1f/0 ") {
-				t.Fatalf("wrote %q, want a poll", w)
-			}
-			e := endStep(q.Received(attempt.Primary, response(200, "a\tb\tc\nd\te\tf\n", "Page-Count: 1")))
-			if e == nil || string(e.Result) != "a\tb\tc\nd\te\tf\n" {
-				t.Errorf("end %+v, want the whole result", e)
-			}
+			checkRequestedAgain(t, startQuery(t), truncated, "/v2/q/9b1f/0", response(200, rows, "Page-Count: 1"), rows)
 		})
 	}
 	for name, truncated := range truncatedResponses("Page-No: 1") {
 		t.Run("second page/"+name, func(t *testing.T) {
 			q := startQuery(t)
 			q.Received(attempt.Primary, response(200, "x\n", "Page-Count: 2"))
-			if steps := q.Received(attempt.Primary, truncated); endStep(steps) != nil || !opens(steps, attempt.Primary) {
-				t.Fatalf("after the truncated page: steps %+v, want a new connection and no end", steps)
-			}
-			if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET /v2/q/9b1f/1 ") {
-				t.Fatalf("wrote %q, want a request for page 1", w)
-			}
-			e := endStep(q.Received(attempt.Primary, response(200, "a\tb\tc\nd\te\tf\n", "Page-No: 1")))
-			if e == nil || string(e.Result) != "x\na\tb\tc\nd\te\tf\n" {
-				t.Errorf("end %+v, want the whole result", e)
-			}
+			checkRequestedAgain(t, q, truncated, "/v2/q/9b1f/1", response(200, rows, "Page-No: 1"), "x\n"+rows)
 		})
 	}
 }
 
+// checkRequestedAgain checks that a truncated page is requested again from path on a new connection, and that the whole page then
+// completes the result.
+func checkRequestedAgain(t *testing.T, q *Query, truncated []byte, path string, whole []byte, result string) {
+	t.Helper()
+	var protocolState any
+	if steps := q.Received(attempt.Primary, truncated); endStep(steps) != nil || !opens(steps, attempt.Primary) {
+		t.Fatalf("after the truncated page: steps %+v, want a new connection and no end", steps)
+	}
+	if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET "+path+" ") {
+		t.Fatalf("wrote %q, want a request for %s", w, path)
+	}
+	if e := endStep(q.Received(attempt.Primary, whole)); e == nil || string(e.Result) != result {
+		t.Errorf("end %+v, want the result %q", e, result)
+	}
+}
+
 // lateRests are ways in which the rest of a page arrives after its length, which was too short, has ended.
 var lateRests = map[string]func(q *Query) []attempt.Step{
 	"before the response": func(q *Query) []attempt.Step {
@@ -150,43 +147,58 @@
 	},
 }
 
+// resultWithLateRest is a result of which a page ends too early and the rest of that page arrives late.
+type resultWithLateRest struct {
+	before  [][]byte // responses up to the page that ends too early
+	request string   // path of that page
+	after   [][]byte // responses from the whole page on
+	result  string
+}
+
+var resultsWithLateRest = map[string]resultWithLateRest{
+	"first page": {
+		before:  [][]byte{response(200, "a\n", "Page-Count: 2")},
+		request: "/v2/q/9b1f/0",
+		after:   [][]byte{response(200, "a\nrest\n", "Page-Count: 2"), response(200, "b\n", "Page-No: 1")},
+		result:  "a\nrest\nb\n",
+	},
+	"second page": {
+		before:  [][]byte{response(200, "a\n", "Page-Count: 3"), response(200, "b\n", "Page-No: 1")},
+		request: "/v2/q/9b1f/1",
+		after:   [][]byte{response(200, "b\nrest\n", "Page-No: 1"), response(200, "c\n", "Page-No: 2")},
+		result:  "a\nb\nrest\nc\n",
+	},
+}
+
 // If bytes that are no response follow a page on its connection, they may be the rest of the page, so that page is requested again
 // too. Guards against a result without the last rows of a page, which happened when the page's length was too short and the rest
 // arrived later than the page.
 func TestPageIsRequestedAgainIfItsRestArrivesLate(t *testing.T) {
-	var protocolState any
 	for name, arriveLate := range lateRests {
-		t.Run("first page/"+name, func(t *testing.T) {
-			q := startQuery(t)
-			q.Received(attempt.Primary, response(200, "a\n", "Page-Count: 2"))
-			if steps := arriveLate(q); endStep(steps) != nil || !opens(steps, attempt.Primary) {
-				t.Fatalf("after the late rest: steps %+v, want a new connection and no end", steps)
-			}
-			if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET /v2/q/9b1f/0 ") {
-				t.Fatalf("wrote %q, want a poll", w)
-			}
-			q.Received(attempt.Primary, response(200, "a\nrest\n", "Page-Count: 2"))
-			e := endStep(q.Received(attempt.Primary, response(200, "b\n", "Page-No: 1")))
-			if e == nil || string(e.Result) != "a\nrest\nb\n" {
-				t.Errorf("end %+v, want the whole result", e)
-			}
-		})
-		t.Run("second page/"+name, func(t *testing.T) {
-			q := startQuery(t)
-			q.Received(attempt.Primary, response(200, "a\n", "Page-Count: 3"))
-			q.Received(attempt.Primary, response(200, "b\n", "Page-No: 1"))
-			if steps := arriveLate(q); endStep(steps) != nil || !opens(steps, attempt.Primary) {
-				t.Fatalf("after the late rest: steps %+v, want a new connection and no end", steps)
-			}
-			if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET /v2/q/9b1f/1 ") {
-				t.Fatalf("wrote %q, want a request for page 1", w)
-			}
-			q.Received(attempt.Primary, response(200, "b\nrest\n", "Page-No: 1"))
-			e := endStep(q.Received(attempt.Primary, response(200, "c\n", "Page-No: 2")))
-			if e == nil || string(e.Result) != "a\nb\nrest\nc\n" {
-				t.Errorf("end %+v, want the whole result", e)
-			}
-		})
+		for page, c := range resultsWithLateRest {
+			t.Run(page+"/"+name, func(t *testing.T) { checkLateRest(t, c, arriveLate) })
+		}
+	}
+}
+
+func checkLateRest(t *testing.T, c resultWithLateRest, arriveLate func(q *Query) []attempt.Step) {
+	var protocolState any
+	q := startQuery(t)
+	for _, r := range c.before {
+		q.Received(attempt.Primary, r)
+	}
+	if steps := arriveLate(q); endStep(steps) != nil || !opens(steps, attempt.Primary) {
+		t.Fatalf("after the late rest: steps %+v, want a new connection and no end", steps)
+	}
+	if w := written(q.Connected(attempt.Primary, &protocolState, permitted)); !strings.HasPrefix(w, "GET "+c.request+" ") {
+		t.Fatalf("wrote %q, want a request for %s", w, c.request)
+	}
+	var e *attempt.End
+	for _, r := range c.after {
+		e = endStep(q.Received(attempt.Primary, r))
+	}
+	if e == nil || string(e.Result) != c.result {
+		t.Errorf("end %+v, want the result %q", e, c.result)
 	}
 }
 
