--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,6 +97,9 @@
 // PendingRequests returns the number of requests without a final reply.
 func (c *Core) PendingRequests() int { return c.pending }
 
+// HeldBytes returns the memory that the frontends hold for queries without a final reply or with an attempt in flight.
+func (c *Core) HeldBytes() int { return c.heldBytes }
+
 // AttemptsInFlight returns the number of attempts that have not ended.
 func (c *Core) AttemptsInFlight() int { return c.inFlight }
 
--- a/internal/protocol/enginehttp/query.go
+++ b/internal/protocol/enginehttp/query.go
@@ -84,8 +84,8 @@
 	// lastPageUnverified is set while the rest of the last page could still arrive on the primary connection: a body length that
 	// is too short is noticed only by the bytes that precede the next response.
 	lastPageUnverified bool
-	// emptyPageSeen is set after a page without rows, until other bytes than a valid response follow. Such a page is requested twice, since its rows
-	// may follow a length of 0 later than the header: they would precede the second response.
+	// emptyPageSeen is set after a page without rows, until other bytes than a valid response follow. Such a page is requested
+	// twice, since its rows may follow a length of 0 later than the header: they would precede the second response.
 	emptyPageSeen bool
 }
 
