memlimit: one count of shared memory for both listeners

The memory that connections share was counted twice over: incomplete lines in the platform's listener, and packets, statements and metadata in mysql.Memory. memlimit.Limit and memlimit.Share serve both, without I/O or locks.

The limits and the guaranteed 16 KB are as before. One difference: a platform client whose incomplete line is shorter than at its last read is no longer closed because others use too much; the sum cannot grow by it.

--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -14,7 +14,8 @@
 // layers lists the directories of each layer, from the lowest to the highest. A package may import packages of its own layer and of lower
 // ones. A package belongs to the layer of the longest directory that contains it.
 var layers = [][]string{
-	{"internal/invariant", "internal/attempt", "internal/protocol", "internal/control", "policy", "internal/settings", "internal/testutil"},
+	{"internal/invariant", "internal/attempt", "internal/memlimit", "internal/protocol", "internal/control", "policy", "internal/settings",
+		"internal/testutil"},
 	{"internal/core", "internal/protocol/discovery", "internal/testutil/nettest"}, // these use types of the lowest layer
 	{"internal/transport"},
 	{"internal/subsetdriver"},
@@ -32,6 +33,7 @@
 	"internal/control":   {"internal/settings", "internal/protocol"},
 	"internal/attempt":   {"internal/control", "internal/protocol", "internal/settings"},
 	"internal/invariant": {"internal/", "policy"},
+	"internal/memlimit":  {"internal/", "policy"},
 }
 
 // TestImportsFollowLayers checks that no package imports a package of a higher layer, or a package that forbidden lists for it.
--- a/internal/protocol/mysql/exchange.go
+++ b/internal/protocol/mysql/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"frostpier/internal/attempt"
+	"frostpier/internal/memlimit"
 	"frostpier/policy"
 )
 
@@ -44,8 +45,7 @@
 	definitionsLeft int // outstanding packets of a COM_STMT_PREPARE response
 	statementID     uint32
 	result          resultStream
-	memory          *Memory        // shared with the listener's connections
-	metadataBytes   int            // memory of the result's metadata that is reported to memory
+	metadata        memlimit.Share // memory of the result's metadata
 	outcome         policy.Outcome // outcome of the attempt when the kill is confirmed
 	killSent        bool
 	steps           []attempt.Step
@@ -53,8 +53,8 @@
 
 // NewExchange returns an exchange for one attempt of query and its first steps. It logs in to the engine as user. memory limits the
 // metadata of results, which is held back until the first row.
-func NewExchange(query *Query, user, password string, memory *Memory) (*Exchange, []attempt.Step) {
-	x := &Exchange{query: query, credentials: credentials{user, password}, memory: memory}
+func NewExchange(query *Query, user, password string, memory *memlimit.Limit) (*Exchange, []attempt.Step) {
+	x := &Exchange{query: query, credentials: credentials{user, password}, metadata: memory.NewShare()}
 	x.emit(attempt.Open{Channel: attempt.Primary})
 	return x, x.flush()
 }
@@ -237,9 +237,7 @@
 // holdMetadata reports the memory of the result's metadata. It returns an error if more is held than is admitted.
 func (x *Exchange) holdMetadata() error {
 	held := len(x.result.metadata)
-	admitted := held <= x.metadataBytes || x.memory.admits(x.metadataBytes, held-x.metadataBytes)
-	x.memory.report(&x.metadataBytes, held)
-	if !admitted {
+	if !x.metadata.Set(held) {
 		return fmt.Errorf("%w: %d bytes of result metadata exceed the memory of all", errMalformedPacket, held)
 	}
 	return nil
@@ -285,7 +283,7 @@
 	}
 	reusable := x.primaryReusable()
 	x.phase = phaseFinished
-	x.memory.report(&x.metadataBytes, 0)
+	x.metadata.Set(0)
 	for timer := range attempt.TimerCount {
 		x.emit(attempt.SetTimer{Timer: timer})
 	}
--- a/internal/protocol/mysql/golden_test.go
+++ b/internal/protocol/mysql/golden_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"frostpier/internal/attempt"
+	"frostpier/internal/memlimit"
 	"frostpier/internal/testutil"
 	"frostpier/internal/testutil/transcript"
 	"frostpier/policy"
@@ -37,7 +38,7 @@
 func TestServerConnTranscript(t *testing.T) {
 	t.Parallel()
 	var out strings.Builder
-	conn, greeting := NewServerConn(testAccounts, 1, scramble, NewMemory(maxCommandSize))
+	conn, greeting := NewServerConn(testAccounts, 1, scramble, memlimit.New(maxCommandSize, 0))
 	fmt.Fprintf(&out, "greeting %q\n", greeting)
 	for _, in := range slices.Concat([][]byte{loginBytes(t)}, goldenCommands()) {
 		fmt.Fprintf(&out, "in %q\n", in)
@@ -68,14 +69,14 @@
 	t.Parallel()
 	var out strings.Builder
 	record := func(event string, steps []attempt.Step) { out.WriteString(transcript.Steps(event, steps)) }
-	_, greeting := NewServerConn(nil, 1, scramble, NewMemory(0))
+	_, greeting := NewServerConn(nil, 1, scramble, memlimit.New(0, guaranteedBytes))
 	permission := func(bool) (time.Duration, bool) { return time.Second, true }
 	prepared := &Execution{Text: "SELECT ?", Params: 1, nullBitmap: []byte{0}, paramTypes: []byte{0xfd, 0}, paramValues: []byte("\x01x")}
 	prepareOK := slices.Concat(frame(1, []byte{0, 9, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0}), frame(2, []byte(definition)), eofPacket(3))
 	for _, execution := range []*Execution{nil, prepared} {
 		var protocolState [2]any
 		query := &Query{Account: &Account{}, Text: "SELECT ?", Schema: "s", IdempotencyKey: "'k'", Execution: execution}
-		x, steps := NewExchange(query, "u", "p", NewMemory(0))
+		x, steps := NewExchange(query, "u", "p", memlimit.New(0, guaranteedBytes))
 		record("new", steps)
 		record("opened", x.Connected(attempt.Primary, &protocolState[0], permission))
 		record("greeting", x.Received(attempt.Primary, greeting))
--- a/internal/protocol/mysql/longdata_test.go
+++ b/internal/protocol/mysql/longdata_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"slices"
 	"testing"
+
+	"frostpier/internal/memlimit"
 )
 
 // sendLongData sends long data for the first parameter of statement 1.
@@ -37,7 +39,7 @@
 		"over the memory of all":        {memory: maxCommandSize, parts: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			conn := loggedInConn(t, NewMemory(c.memory))
+			conn := loggedInConn(t, memlimit.New(c.memory, guaranteedBytes))
 			conn.Received(commandPacket(comStmtPrepare, []byte("INSERT INTO t VALUES (?)")))
 			for range c.parts {
 				sendLongData(conn, part)
--- a/internal/protocol/mysql/memory_test.go
+++ b/internal/protocol/mysql/memory_test.go
@@ -10,17 +10,21 @@
 	"pgregory.net/rapid"
 
 	"frostpier/internal/attempt"
+	"frostpier/internal/memlimit"
 	"frostpier/policy"
 )
 
-// testMemoryLimit is the memory that the connections of a test share.
-const testMemoryLimit = 4 * guaranteedBytes
+// Memory limits of the tests.
+const (
+	guaranteedBytes = 16 << 10            // of each connection and result
+	testMemoryLimit = 4 * guaranteedBytes // of all
+)
 
 // loggedInConn returns a connection whose login is complete and which shares memory.
-func loggedInConn(t testing.TB, memory *Memory) *ServerConn {
+func loggedInConn(t testing.TB, memory *memlimit.Limit) *ServerConn {
 	t.Helper()
 	c := newServerConn(t)
-	c.memory = memory
+	c.memory = memory.NewShare()
 	c.Received(loginBytes(t))
 	if !c.LoggedIn() {
 		t.Fatal("the login was not accepted")
@@ -43,7 +47,7 @@
 // have closed theirs or their connections. Guards against 256 statements of 1 MB for each connection, which take the process over its
 // memory limit.
 func TestPreparedStatementsShareMemoryLimit(t *testing.T) {
-	memory := NewMemory(testMemoryLimit)
+	memory := memlimit.New(testMemoryLimit, guaranteedBytes)
 	first, second := loggedInConn(t, memory), loggedInConn(t, memory)
 	prepared, code := 0, 0
 	for ; code == 0 && prepared <= maxClientStatements; prepared++ {
@@ -68,12 +72,16 @@
 // The bytes of incomplete packets share the limit too, before the login as well: over it, a connection is closed with an error. One
 // with a short packet is kept.
 func TestIncompletePacketsShareMemoryLimit(t *testing.T) {
-	for name, connect := range map[string]func(memory *Memory) *ServerConn{
-		"before the login": func(memory *Memory) *ServerConn { c := newServerConn(t); c.memory = memory; return c },
-		"command":          func(memory *Memory) *ServerConn { return loggedInConn(t, memory) },
+	for name, connect := range map[string]func(memory *memlimit.Limit) *ServerConn{
+		"before the login": func(memory *memlimit.Limit) *ServerConn {
+			c := newServerConn(t)
+			c.memory = memory.NewShare()
+			return c
+		},
+		"command": func(memory *memlimit.Limit) *ServerConn { return loggedInConn(t, memory) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			memory := NewMemory(testMemoryLimit)
+			memory := memlimit.New(testMemoryLimit, guaranteedBytes)
 			incomplete := commandPacket(comQuery, make([]byte, testMemoryLimit))[:testMemoryLimit-guaranteedBytes]
 			kept, closed, short := connect(memory), connect(memory), connect(memory)
 			if events := kept.Received(incomplete); len(events) != 0 {
@@ -94,7 +102,7 @@
 // ended.
 func TestMemoryIsReleasedAfterRandomCommands(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		memory := NewMemory(testMemoryLimit)
+		memory := memlimit.New(testMemoryLimit, guaranteedBytes)
 		var conns []*ServerConn
 		for range rapid.IntRange(1, 4).Draw(rt, "connections") {
 			conns = append(conns, loggedInConn(t, memory))
@@ -144,7 +152,7 @@
 // The memory of a query includes all that its attempt uses: the statement, also a prepared one, whose connection may end before the
 // attempt does, and the values. Otherwise clients that connect, execute and go hold memory that counts nowhere.
 func TestQueryBytesIncludeStatementAndValues(t *testing.T) {
-	c := loggedInConn(t, NewMemory(testMemoryLimit))
+	c := loggedInConn(t, memlimit.New(testMemoryLimit, guaranteedBytes))
 	const text = "INSERT INTO t VALUES (?)"
 	c.Received(commandPacket(comStmtPrepare, []byte(text)))
 	sendLongData(c, []byte("abc"))
@@ -165,7 +173,7 @@
 // prepareOnSession executes a prepared statement without parameters on a session and returns it to the pool.
 func prepareOnSession(t *testing.T, s *session, text string) {
 	t.Helper()
-	x, _ := NewExchange(&Query{Account: &Account{}, Text: text, Execution: &Execution{Text: text}}, "u", "p", NewMemory(0))
+	x, _ := NewExchange(&Query{Account: &Account{}, Text: text, Execution: &Execution{Text: text}}, "u", "p", memlimit.New(0, guaranteedBytes))
 	var protocolState any = s
 	x.Connected(attempt.Primary, &protocolState, permitted)
 	x.Received(attempt.Primary, frame(1, make([]byte, minPrepareOK)))
@@ -176,7 +184,7 @@
 }
 
 // startResult starts a query and receives the metadata of a result with the given number of columns. It returns the steps after that.
-func startResult(memory *Memory, columns int) (*Exchange, []attempt.Step) {
+func startResult(memory *memlimit.Limit, columns int) (*Exchange, []attempt.Step) {
 	x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", memory)
 	var protocolState any = idleSession()
 	x.Connected(attempt.Primary, &protocolState, permitted)
@@ -199,7 +207,7 @@
 // another result has ended. Guards against queries with thousands of columns, whose results hold 1 MB each.
 func TestResultMetadataSharesMemoryLimit(t *testing.T) {
 	const columns = 3 * guaranteedBytes / (headerSize + len(definition))
-	memory := NewMemory(testMemoryLimit)
+	memory := memlimit.New(testMemoryLimit, guaranteedBytes)
 	if _, steps := startResult(memory, columns); killsQuery(steps) {
 		t.Fatalf("steps %+v within the limit, want no kill", steps)
 	}
@@ -209,7 +217,7 @@
 	if _, steps := startResult(memory, columns/4); killsQuery(steps) {
 		t.Errorf("steps %+v within the guaranteed memory, want no kill", steps)
 	}
-	memory = NewMemory(testMemoryLimit)
+	memory = memlimit.New(testMemoryLimit, guaranteedBytes)
 	first, _ := startResult(memory, columns)
 	first.Received(attempt.Primary, slices.Concat(eofPacket(2), frame(3, []byte("\x01a"))))
 	if memory.Used() != 0 {
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"frostpier/internal/attempt"
+	"frostpier/internal/memlimit"
 	_ "frostpier/internal/testutil/fixedseed"
 	"frostpier/policy"
 )
@@ -23,7 +24,7 @@
 // newServerConn returns a new connection with the account u and the password p.
 func newServerConn(t testing.TB) *ServerConn {
 	t.Helper()
-	conn, greeting := NewServerConn(testAccounts, 1, scramble, NewMemory(maxCommandSize))
+	conn, greeting := NewServerConn(testAccounts, 1, scramble, memlimit.New(maxCommandSize, 0))
 	if n := payloadLength(greeting); n != len(greeting)-headerSize {
 		t.Fatalf("handshake of %d bytes has length %d in its header", len(greeting)-headerSize, n)
 	}
@@ -33,7 +34,7 @@
 // loginBytes returns a client's handshake response. It is created with session, which implements the client side of the protocol.
 func loginBytes(t testing.TB) []byte {
 	t.Helper()
-	_, greeting := NewServerConn(nil, 1, scramble, NewMemory(0))
+	_, greeting := NewServerConn(nil, 1, scramble, memlimit.New(0, guaranteedBytes))
 	s := newSession()
 	out, err := s.handleLogin(packet{payload: greeting[headerSize:]}, credentials{"u", "p"})
 	if err != nil {
@@ -231,7 +232,7 @@
 
 // An exchange ends at most once and sends the query at most once, whatever the events and their order.
 func TestExchangeEndsAndSendsAtMostOnce(t *testing.T) {
-	_, greeting := NewServerConn(nil, 1, scramble, NewMemory(0))
+	_, greeting := NewServerConn(nil, 1, scramble, memlimit.New(0, guaranteedBytes))
 	parts := rapid.SampledFrom([][]byte{
 		greeting,
 		okPacket(2),
@@ -249,7 +250,7 @@
 		if rapid.Bool().Draw(rt, "prepared") {
 			query.Execution = &Execution{Text: "SELECT ?", Params: 1, nullBitmap: []byte{0}, paramTypes: []byte{0xfd, 0}}
 		}
-		x, _ := NewExchange(query, "u", "p", NewMemory(0))
+		x, _ := NewExchange(query, "u", "p", memlimit.New(0, guaranteedBytes))
 		var protocolState [2]any
 		ends, queries := 0, 0
 		for range rapid.IntRange(1, 30).Draw(rt, "events") {
@@ -294,7 +295,7 @@
 // A connection whose query was killed is never released, even after its result was read to the end: a late KILL QUERY would end
 // the next query on it.
 func TestKilledConnectionIsNotReused(t *testing.T) {
-	x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", NewMemory(0))
+	x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", memlimit.New(0, guaranteedBytes))
 	var protocolState any = idleSession()
 	x.Connected(attempt.Primary, &protocolState, permitted)
 	x.Cancel(policy.Cancelled)
@@ -316,7 +317,7 @@
 		return slices.ContainsFunc(steps, func(s attempt.Step) bool { _, end := s.(attempt.End); return end })
 	}
 	queryInFlight := func() (x *Exchange, control any) {
-		x, _ = NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", NewMemory(0))
+		x, _ = NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", memlimit.New(0, guaranteedBytes))
 		var primary any = idleSession()
 		x.Connected(attempt.Primary, &primary, permitted)
 		return x, idleSession()
--- a/internal/protocol/mysql/server_conn.go
+++ b/internal/protocol/mysql/server_conn.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"frostpier/internal/memlimit"
 )
 
 // Account is a MySQL account for clients, with the properties of the queries that they send.
@@ -62,21 +64,20 @@
 	idempotencyKey  string // idempotency key for the next query; empty for none
 	lastStatementID uint32
 	statements      map[uint32]*statement
-	memory          *Memory // shared with the other connections of the listener
-	reportedBytes   int     // memory that this connection has reported to memory
+	memory          memlimit.Share // what the connection holds while no query runs
 	events          []Event
 }
 
 // NewServerConn returns the state machine of a new connection and the handshake packet to send to its client. accounts is keyed
 // by user, connectionID is the thread id in the handshake, and scramble must be 20 random bytes without a zero byte. memory is
-// shared by all connections of a listener.
-func NewServerConn(accounts map[string]*Account, connectionID uint32, scramble []byte, memory *Memory) (*ServerConn, []byte) {
+// shared by all connections of a listener and the results of their queries; open queries are not included.
+func NewServerConn(accounts map[string]*Account, connectionID uint32, scramble []byte, memory *memlimit.Limit) (*ServerConn, []byte) {
 	c := &ServerConn{
 		accounts:   accounts,
 		scramble:   scramble,
 		packets:    framer{maxPayload: maxCommandSize},
 		statements: map[uint32]*statement{},
-		memory:     memory,
+		memory:     memory.NewShare(),
 	}
 	return c, handshakePacket(connectionID, scramble)
 }
--- a/internal/transport/frontend/listener_races_test.go
+++ b/internal/transport/frontend/listener_races_test.go
@@ -114,7 +114,7 @@
 	line := queryLine(11, idempotentClass)
 	nettest.Send(t, nc, line[:30])
 	nettest.Eventually(t, "an incomplete line", func() (incomplete bool) {
-		f.loop.Do(func() { incomplete = f.incompleteBytes > 0 })
+		f.loop.Do(func() { incomplete = f.lineMemory.Used() > 0 })
 		return incomplete
 	})
 	f.loop.Do(func() {
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"frostpier/internal/core"
+	"frostpier/internal/memlimit"
 	"frostpier/internal/protocol/mysql"
 	"frostpier/internal/transport/dispatcher"
 	"frostpier/internal/transport/enginepool"
@@ -41,9 +42,9 @@
 	pool         *enginepool.Pool
 	log          *slog.Logger
 	config       MySQLConfig
-	memory       *mysql.Memory
-	acceptor     *acceptor // nil while not listening
-	lastThreadID uint32    // thread ID (MySQL connection ID) of the newest connection
+	memory       *memlimit.Limit // of what clients hold while no query runs, and of the metadata of results
+	acceptor     *acceptor       // nil while not listening
+	lastThreadID uint32          // thread ID (MySQL connection ID) of the newest connection
 	retryTimer   *eventloop.Timer
 	loginTimeout time.Duration
 }
@@ -56,7 +57,7 @@
 		pool:         pool,
 		log:          log,
 		config:       config,
-		memory:       mysql.NewMemory(config.MaxHeldBytes),
+		memory:       memlimit.New(config.MaxHeldBytes, guaranteedBytes),
 		loginTimeout: defaultLoginTimeout,
 	}
 }
--- a/internal/transport/frontend/platform.go
+++ b/internal/transport/frontend/platform.go
@@ -10,15 +10,16 @@
 	"time"
 
 	"frostpier/internal/core"
+	"frostpier/internal/memlimit"
 	"frostpier/internal/protocol/jsonrpc"
 	"frostpier/internal/transport/dispatcher"
 	"frostpier/internal/transport/eventloop"
 )
 
 const (
-	clientWriteLimit    = 4 << 20          // bytes; enough for the responses to all queries that a connection may have open
-	idleTimeout         = 30 * time.Second // clients close their own idle connections after 4 s
-	guaranteedLineBytes = 16 << 10         // bytes of an incomplete line that each client may send, even if the limit for all is exceeded
+	clientWriteLimit = 4 << 20          // bytes; enough for the responses to all queries that a connection may have open
+	idleTimeout      = 30 * time.Second // clients close their own idle connections after 4 s
+	guaranteedBytes  = 16 << 10         // memory that each client may use, even if the limit for all clients is exceeded
 	// defaultRequestTimeout is the timeout for the first request of a connection, and for the rest of an incomplete line. A connection
 	// without a request must be closed within 3 s.
 	defaultRequestTimeout = 2 * time.Second
@@ -33,23 +34,22 @@
 	acceptor   *acceptor // nil before Serve
 	onStopped  func()    // called after the last accepted connection was handled
 
-	maxConns           int           // including connections that are being closed
-	maxIncompleteBytes int           // limit of incompleteBytes
-	incompleteBytes    int           // bytes of incomplete lines, over all connections
-	requestTimeout     time.Duration // for the first request, and for the rest of an incomplete line
-	serving            bool          // as reported by ping
+	maxConns       int             // including connections that are being closed
+	lineMemory     *memlimit.Limit // of incomplete lines
+	requestTimeout time.Duration   // for the first request, and for the rest of an incomplete line
+	serving        bool            // as reported by ping
 }
 
 // NewPlatformListener returns a listener of at most maxConns connections, which together may use maxIncompleteBytes for incomplete lines.
 func NewPlatformListener(d *dispatcher.Dispatcher, log *slog.Logger, maxConns, maxIncompleteBytes int) *PlatformListener {
 	return &PlatformListener{
-		connSet:            newConnSet[*client](maxConns),
-		dispatcher:         d,
-		log:                log,
-		maxConns:           maxConns,
-		maxIncompleteBytes: maxIncompleteBytes,
-		requestTimeout:     defaultRequestTimeout,
-		serving:            true,
+		connSet:        newConnSet[*client](maxConns),
+		dispatcher:     d,
+		log:            log,
+		maxConns:       maxConns,
+		lineMemory:     memlimit.New(maxIncompleteBytes, guaranteedBytes),
+		requestTimeout: defaultRequestTimeout,
+		serving:        true,
 	}
 }
 
@@ -95,6 +95,7 @@
 	}
 	c := &client{
 		listener:  l,
+		line:      l.lineMemory.NewShare(),
 		session:   jsonrpc.NewSession(l.dispatcher.Core),
 		requests:  map[string]core.RequestID{},
 		idleSince: l.dispatcher.Loop.Now(),
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"frostpier/internal/core"
+	"frostpier/internal/memlimit"
 	"frostpier/internal/protocol/jsonrpc"
 	"frostpier/internal/transport/eventloop"
 )
@@ -28,8 +29,8 @@
 	idleSince time.Duration
 	idleTimer *eventloop.Timer // runs until the first request, and after that while no query is open
 
-	incompleteBytes int              // bytes received of an incomplete line
-	lineTimer       *eventloop.Timer // timeout for the rest of that line; nil if there is none
+	line      memlimit.Share   // memory of an incomplete line
+	lineTimer *eventloop.Timer // timeout for the rest of that line; nil if there is none
 }
 
 // Data parses received bytes and handles complete lines.
@@ -42,9 +43,8 @@
 	for _, e := range events {
 		c.handle(e)
 	}
-	c.updateLineTimer(bytes.IndexByte(b, '\n') >= 0)
-	overLimit := c.listener.incompleteBytes > c.listener.maxIncompleteBytes
-	if err == nil && overLimit && c.incompleteBytes > guaranteedLineBytes {
+	admitted := c.updateLineTimer(bytes.IndexByte(b, '\n') >= 0)
+	if err == nil && !admitted {
 		err = errIncompleteLines
 	}
 	if err != nil {
@@ -139,14 +139,13 @@
 func (c *client) remove() {
 	c.idleTimer.Stop()
 	c.lineTimer.Stop()
-	c.listener.incompleteBytes -= c.incompleteBytes
-	c.incompleteBytes = 0
+	c.line.Set(0)
 	c.listener.connSet.remove(c)
 }
 
 // shutdownIfIdle implements closableConn. A connection with an incomplete line is kept, since the rest of the line may follow.
 func (c *client) shutdownIfIdle(minIdle time.Duration) (handledBytes bool) {
-	if c.incompleteBytes > 0 || len(c.requests) > 0 || c.listener.dispatcher.Loop.Now()-c.idleSince < minIdle {
+	if c.line.Held() > 0 || len(c.requests) > 0 || c.listener.dispatcher.Loop.Now()-c.idleSince < minIdle {
 		return false
 	}
 	return !c.closeIfIdle("stopped")
--- a/internal/transport/frontend/platform_test.go
+++ b/internal/transport/frontend/platform_test.go
@@ -94,8 +94,8 @@
 	io.WriteString(kept, ping)
 	expectPong(t, kept)
 	l.dispatcher.Loop.Do(func() {
-		if len(l.open) != 1 || l.incompleteBytes != 0 {
-			t.Errorf("%d connections and %d incomplete bytes remain, want 1 and 0", len(l.open), l.incompleteBytes)
+		if len(l.open) != 1 || l.lineMemory.Used() != 0 {
+			t.Errorf("%d connections and %d incomplete bytes remain, want 1 and 0", len(l.open), l.lineMemory.Used())
 		}
 	})
 }
@@ -110,7 +110,7 @@
 		nettest.Eventually(t, "an incomplete line", func() (incomplete bool) {
 			l.dispatcher.Loop.Do(func() {
 				for c = range l.open {
-					incomplete, timer = c.incompleteBytes == half, c.lineTimer
+					incomplete, timer = c.line.Held() == half, c.lineTimer
 				}
 			})
 			return incomplete
@@ -136,7 +136,8 @@
 		now := l.dispatcher.Loop.Now()
 		add := func(sentRequest, sentQuery bool, idle time.Duration, requests ...string) *client {
 			nc, _ := net.Pipe()
-			c := &client{listener: l, sentQuery: sentQuery, sentRequest: sentRequest, idleSince: now - idle, requests: map[string]core.RequestID{}}
+			c := &client{listener: l, line: l.lineMemory.NewShare(), sentQuery: sentQuery, sentRequest: sentRequest, idleSince: now - idle,
+				requests: map[string]core.RequestID{}}
 			c.conn = eventloop.NewConn(l.dispatcher.Loop, nc, c, 1)
 			for i, id := range requests {
 				c.requests[id] = core.RequestID(i + 1)
@@ -186,17 +187,17 @@
 // The memory of incomplete lines is limited: if all together exceed the limit, a connection with a long incomplete line is closed, and one
 // with a short line is kept.
 func TestIncompleteLineMemoryIsLimited(t *testing.T) {
-	l := newPlatformListener(t, 100, 3*guaranteedLineBytes, time.Hour)
-	long := strings.Repeat("x", 2*guaranteedLineBytes)
+	l := newPlatformListener(t, 100, 3*guaranteedBytes, time.Hour)
+	long := strings.Repeat("x", 2*guaranteedBytes)
 	dialAndSend(t, l, long)
 	for {
 		incomplete := 0
-		if l.dispatcher.Loop.Do(func() { incomplete = l.incompleteBytes }); incomplete == len(long) {
+		if l.dispatcher.Loop.Do(func() { incomplete = l.lineMemory.Used() }); incomplete == len(long) {
 			break
 		}
 	}
 	expectClosed(t, "long line over the limit", dialAndSend(t, l, long))
-	short := dialAndSend(t, l, ping[:10]) // below guaranteedLineBytes
+	short := dialAndSend(t, l, ping[:10]) // below guaranteedBytes
 	io.WriteString(short, ping[10:])
 	expectPong(t, short)
 }
--- a/internal/transport/frontend/platform_timeouts.go
+++ b/internal/transport/frontend/platform_timeouts.go
@@ -32,11 +32,10 @@
 }
 
 // updateLineTimer starts or stops the timer for the rest of an incomplete line. Each line has its own timeout: lineEnded is true if the bytes
-// just received completed a line, so that the incomplete line, if any, is a new one.
-func (c *client) updateLineTimer(lineEnded bool) {
+// just received completed a line, so that the incomplete line, if any, is a new one. It reports whether the memory of the line is admitted.
+func (c *client) updateLineTimer(lineEnded bool) (admitted bool) {
 	incomplete := c.session.BufferedBytes()
-	c.listener.incompleteBytes += incomplete - c.incompleteBytes
-	c.incompleteBytes = incomplete
+	admitted = c.line.Set(incomplete)
 	if lineEnded || incomplete == 0 {
 		c.lineTimer.Stop()
 		c.lineTimer = nil
@@ -44,6 +43,7 @@
 	if incomplete > 0 && c.lineTimer == nil {
 		c.startLineTimer()
 	}
+	return admitted
 }
 
 func (c *client) startLineTimer() {
@@ -55,7 +55,7 @@
 	c.lineTimer = nil
 	c.conn.DeliverPending() // the pending bytes may complete the line
 	switch {
-	case !c.conn.IsOpen() || c.incompleteBytes == 0:
+	case !c.conn.IsOpen() || c.line.Held() == 0:
 	case len(c.requests) == 0:
 		c.close("incomplete line")
 	case c.lineTimer == nil:
