frontend: a MySQL command after a reply is answered by the shutdown

Callers of a gateway without processor time had a reply, sent their next query, and lost it with the connection. Cause: after a reply the end of the query is handled by a function behind the loop's queue, and until then commands are only buffered; the last step of a shutdown precedes the queue and closed connections over them.

The last step handles the end of a query that has its reply, and the commands behind it, before it closes the connection.

TestMySQLShutdownAnswersCommandAfterReply forces the order and fails without the fix ("invalid connection").

--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -74,11 +74,20 @@
 // during shutdown.
 func (c *mysqlClient) shutdown() {
 	c.conn.DeliverPending()
+	c.handleBufferedCommands()
 	if c.conn.IsOpen() {
 		c.close()
 	}
 }
 
+// handleBufferedCommands handles the commands that arrived while a query was open, if it has its reply, without waiting for the call of
+// queryEnded.
+func (c *mysqlClient) handleBufferedCommands() {
+	for c.query == nil && c.conn.IsOpen() && c.machine.QueryRunning() {
+		c.execute(c.machine.QueryEnded())
+	}
+}
+
 // loginTimedOut closes a connection whose client has not logged in in time.
 func (c *mysqlClient) loginTimedOut() {
 	c.conn.DeliverPending() // the pending bytes may complete the login
