--- a/internal/transport/frontend/listener_races_test.go
+++ b/internal/transport/frontend/listener_races_test.go
@@ -189,6 +189,16 @@
 	return NewMySQLListener(dispatcher.New(loop, nil, p, log), p, log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 8})
 }
 
+// listenMySQL opens a MySQL listener.
+func listenMySQL(t *testing.T, l *MySQLListener) {
+	t.Helper()
+	l.dispatcher.Loop.Do(func() {
+		if err := l.Listen(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // dialMySQL opens connections to a listening MySQL listener.
 func dialMySQL(t *testing.T, l *MySQLListener, count int) (conns []net.Conn) {
 	t.Helper()
@@ -218,11 +228,7 @@
 func connectMySQL(t *testing.T) (*MySQLListener, net.Conn) {
 	t.Helper()
 	l := newMySQLFixture(t)
-	l.dispatcher.Loop.Do(func() {
-		if err := l.Listen(); err != nil {
-			t.Error(err)
-		}
-	})
+	listenMySQL(t, l)
 	conns := dialMySQL(t, l, 1)
 	expectGreetings(t, conns)
 	return l, conns[0]
--- a/internal/transport/frontend/mysql_shutdown_test.go
+++ b/internal/transport/frontend/mysql_shutdown_test.go
@@ -20,11 +20,7 @@
 	account := &mysql.Account{User: "u", PasswordHash: mysql.HashPassword("p"), Budget: nettest.Timeout}
 	l := NewMySQLListener(f.dispatcher, f.pool, f.log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 1,
 		Accounts: map[string]*mysql.Account{account.User: account}})
-	f.loop.Do(func() {
-		if err := l.Listen(); err != nil {
-			t.Error(err)
-		}
-	})
+	listenMySQL(t, l)
 	db, err := sql.Open("mysql", fmt.Sprintf("u:p@tcp(%s)/?timeout=20s&readTimeout=20s", l.Addr()))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/frontend/mysql_test.go
+++ b/internal/transport/frontend/mysql_test.go
@@ -2,38 +2,13 @@
 
 import (
 	"io"
-	"log/slog"
 	"net"
 	"testing"
 	"time"
 
 	"frostpier/internal/testutil/nettest"
-	"frostpier/internal/transport/dispatcher"
 )
 
-// dialMySQLListener starts a listener without accounts and connects a client to it.
-func dialMySQLListener(t *testing.T, loginTimeout time.Duration) (*MySQLListener, net.Conn) {
-	t.Helper()
-	loop, p := newPool(t, 1)
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	l := NewMySQLListener(dispatcher.New(loop, nil, p, log), p, log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 1})
-	l.loginTimeout = loginTimeout
-	var addr string
-	loop.Do(func() {
-		if err := l.Listen(); err != nil {
-			t.Error(err)
-		}
-		addr = l.Addr().String()
-	})
-	nc, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(nettest.Timeout))
-	return l, nc
-}
-
 // The memory that a connection holds is free once it has ended, whether its client or the listener closes it. Otherwise clients that
 // connect and go would use up the memory of all.
 func TestMySQLMemoryIsReleasedWithConnection(t *testing.T) {
@@ -42,7 +17,7 @@
 		"closed by the listener": func(l *MySQLListener, _ net.Conn) { l.dispatcher.Loop.Do(l.Shutdown) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, nc := dialMySQLListener(t, time.Hour)
+			l, nc := connectMySQL(t)
 			used := func() (n int) {
 				l.dispatcher.Loop.Do(func() { n = l.memory.Used() })
 				return n
@@ -58,7 +33,10 @@
 
 // The connection of a client that does not log in is closed after the login timeout, which frees its descriptor.
 func TestMySQLLoginTimeoutClosesConnection(t *testing.T) {
-	l, nc := dialMySQLListener(t, 20*time.Millisecond)
+	l := newMySQLFixture(t)
+	l.loginTimeout = 20 * time.Millisecond
+	listenMySQL(t, l)
+	nc := dialMySQL(t, l, 1)[0]
 	greeting, err := io.ReadAll(nc) // until the connection is closed
 	if err != nil || len(greeting) == 0 || greeting[4] != 10 {
 		t.Fatalf("read %q and error %v, want a greeting of protocol version 10 and EOF", greeting, err)
