mysql: an attempt hashes its statement once

The key of a prepared statement was worked out again for the response to the prepare, a hash of up to 1 MB. Exchange.statementKey keeps it. go test ./internal/protocol/mysql and the MySQL tests of cmd/frostpier pass.

--- a/internal/protocol/mysql/exchange.go
+++ b/internal/protocol/mysql/exchange.go
@@ -42,7 +42,8 @@
 	reused          bool // an earlier attempt has used the primary connection
 	permission      attempt.Permission
 	setupQueue      []setupCommand
-	definitionsLeft int // outstanding packets of a COM_STMT_PREPARE response
+	definitionsLeft int          // outstanding packets of a COM_STMT_PREPARE response
+	statementKey    statementKey // of a prepared statement in the session
 	statementID     uint32
 	result          resultStream
 	metadata        memlimit.Share // memory of the result's metadata
--- a/internal/protocol/mysql/exchange_setup.go
+++ b/internal/protocol/mysql/exchange_setup.go
@@ -79,7 +79,8 @@
 	if execution == nil {
 		return
 	}
-	id, prepared := s.statementIDs[x.preparedKey()]
+	x.statementKey = newStatementKey(x.query.Schema, execution.Text)
+	id, prepared := s.statementIDs[x.statementKey]
 	x.statementID = id
 	if !prepared {
 		x.queue(expectPrepareOK, commandPacket(comStmtPrepare, []byte(execution.Text)))
@@ -90,11 +91,6 @@
 	x.setupQueue = append(x.setupQueue, setupCommand{packet: packet, response: response})
 }
 
-// preparedKey returns the key of the query's statement in session.statementIDs.
-func (x *Exchange) preparedKey() statementKey {
-	return newStatementKey(x.query.Schema, x.query.Execution.Text)
-}
-
 // sendNext sends the next setup command or, after the last one, the query.
 func (x *Exchange) sendNext() {
 	if len(x.setupQueue) > 0 {
@@ -154,7 +150,7 @@
 		x.handleMalformed(attempt.Primary)
 		return
 	}
-	x.sessions[attempt.Primary].statementIDs[x.preparedKey()] = x.statementID
+	x.sessions[attempt.Primary].statementIDs[x.statementKey] = x.statementID
 	x.definitionsLeft += definitionPackets(columns) + definitionPackets(params)
 	if x.definitionsLeft == 0 {
 		x.sendNext()
