--- a/internal/program/setup.go
+++ b/internal/program/setup.go
@@ -92,6 +92,9 @@
 // memoryLimit returns the configuration's memory limit in bytes.
 func memoryLimit(conf settings.Config) int64 { return conf.Limits.MemoryMB << 20 }
 
+// bufferLimit returns the memory in bytes that each of the kinds of buffers of bufferFraction may use.
+func bufferLimit(conf settings.Config) int64 { return memoryLimit(conf) / bufferFraction }
+
 // limitRuntime sets the limits of the Go runtime to those of the configuration.
 func limitRuntime(conf settings.Config) {
 	runtime.GOMAXPROCS(max(minThreads, int(conf.Limits.Cores)))
@@ -101,10 +104,10 @@
 
 // newProgram creates the parts of a gateway and connects them. Nothing runs until it is started.
 func newProgram(s setup, log *slog.Logger) (*program, error) {
-	bufferLimit := memoryLimit(s.conf) / bufferFraction
-	loop := eventloop.New(time.Now(), bufferLimit)
+	limit := bufferLimit(s.conf)
+	loop := eventloop.New(time.Now(), limit)
 	invariants := invariant.New(log)
-	s.host.MaxHeldBytes = int(bufferLimit)
+	s.host.MaxHeldBytes = int(limit)
 	c, err := core.New(s.host, s.conf.SeedNumber(), log, invariants)
 	if err != nil {
 		return nil, err
@@ -121,7 +124,7 @@
 		loop: loop, dispatcher: requests, invariants: invariants, log: log, host: s.host, operator: s.operator,
 		engineEvents: engineEvents, initialEvents: initialEvents, shutdownDeadline: shutdownDeadline(s.host),
 		discovery: enginewatch.New(loop, requests, log, s.conf.DiscoveryAddr, engineEvents),
-		platform:  frontend.NewPlatformListener(requests, log, sockets.clients.Max, int(bufferLimit)),
+		platform:  frontend.NewPlatformListener(requests, log, sockets.clients.Max, int(limit)),
 	}
 	if err := p.addOperatorSections(s, sockets); err != nil {
 		return nil, err
@@ -147,7 +150,7 @@
 		if err != nil {
 			return err
 		}
-		config.MaxHeldBytes = int(memoryLimit(s.conf) / bufferFraction)
+		config.MaxHeldBytes = int(bufferLimit(s.conf))
 		engines := enginepool.New(p.loop, p.log, s.host.ConnectTimeout, s.host.ConnIdleTimeout, sockets.mysqlEngines)
 		p.dispatcher.Pools = append(p.dispatcher.Pools, engines)
 		p.mysql = frontend.NewMySQLListener(p.dispatcher, engines, p.log, config)
