Memory counts: names say what is counted

QueryBytes, MaxQueryBytes, MaxMemory, Share.Used and memoryUsed in place of names with 'held'; a comment no longer names one of two uses. The log attribute held_bytes stays.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -38,7 +38,7 @@
 	lastID       RequestID       // the ID assigned last
 	pending      int             // requests without a final reply
 	inFlight     int             // attempts that have not ended
-	heldBytes    int             // memory that the frontends hold for active requests
+	queryBytes   int             // memory that the frontends hold for active requests
 	engines      map[policy.EngineID]*Engine
 	classes      map[string]int // class numbers by name
 	shuttingDown bool
@@ -97,8 +97,8 @@
 // PendingRequests returns the number of requests without a final reply.
 func (c *Core) PendingRequests() int { return c.pending }
 
-// HeldBytes returns the memory that the frontends hold for queries without a final reply or with an attempt in flight.
-func (c *Core) HeldBytes() int { return c.heldBytes }
+// QueryBytes returns the memory that the frontends hold for queries without a final reply or with an attempt in flight.
+func (c *Core) QueryBytes() int { return c.queryBytes }
 
 // AttemptsInFlight returns the number of attempts that have not ended.
 func (c *Core) AttemptsInFlight() int { return c.inFlight }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -15,8 +15,8 @@
 // startTime is the time of the first event of each test.
 const startTime = time.Duration(1_700_000_000) * time.Second
 
-// testMaxHeldBytes is the memory that newCore allows for queries.
-const testMaxHeldBytes = 8 * largeQueryBytes
+// testMaxQueryBytes is the memory that newCore allows for queries.
+const testMaxQueryBytes = 8 * largeQueryBytes
 
 // newCore returns the core of a single gateway with two classes, the second of which needs idempotency keys.
 func newCore(t testing.TB) (*Core, *invariant.Monitor) {
@@ -28,7 +28,7 @@
 	keyed.Name, keyed.Idempotency, keyed.DedupWindow = "form-load", policy.IdempotentWithKey, 12*time.Second
 	host := settings.Host{
 		MaxRetryAfter: 500 * time.Millisecond, MachineTypes: []string{"m"}, Zones: []string{"z"}, MaxPending: 100,
-		MaxHeldBytes: testMaxHeldBytes,
+		MaxQueryBytes: testMaxQueryBytes,
 		Policy: policy.Settings{
 			Classes: []policy.Class{class, keyed}, Gateways: 1, Tick: 5 * time.Millisecond, MayCancel: true, MaxAttempts: 4,
 			MachineTypes: []policy.MachineType{{Cores: 8}},
--- a/internal/core/memory_test.go
+++ b/internal/core/memory_test.go
@@ -26,21 +26,21 @@
 	c, _ := newCore(t)
 	const large = 2 * largeQueryBytes
 	accepted := 0
-	for range testMaxHeldBytes / large {
+	for range testMaxQueryBytes / large {
 		if _, ok := submitBytes(c, large); ok {
 			accepted++
 		}
 	}
-	if want := testMaxHeldBytes / largeQueryDivisor / large; accepted != want {
+	if want := testMaxQueryBytes / largeQueryDivisor / large; accepted != want {
 		t.Fatalf("%d large queries accepted, want %d", accepted, want)
 	}
 	accepted = 0
-	for range testMaxHeldBytes / largeQueryBytes {
+	for range testMaxQueryBytes / largeQueryBytes {
 		if _, ok := submitBytes(c, largeQueryBytes); ok {
 			accepted++
 		}
 	}
-	if want := testMaxHeldBytes / largeQueryDivisor / largeQueryBytes; accepted != want {
+	if want := testMaxQueryBytes / largeQueryDivisor / largeQueryBytes; accepted != want {
 		t.Errorf("%d other queries accepted beside them, want %d", accepted, want)
 	}
 }
@@ -49,7 +49,7 @@
 func TestQueryMemoryCountsUntilAttemptEnds(t *testing.T) {
 	c, _ := newCore(t)
 	c.UpdateEngines(startTime, true, []ListedEngine{listedEngine("a", policy.Ready)})
-	id, ok := submitBytes(c, testMaxHeldBytes/largeQueryDivisor)
+	id, ok := submitBytes(c, testMaxQueryBytes/largeQueryDivisor)
 	if !ok {
 		t.Fatal("the first query was rejected")
 	}
--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -73,8 +73,8 @@
 	id, actions := m.core.Submit(m.now, q)
 	m.ids = append(m.ids, id)
 	m.execute(actions)
-	if m.core.heldBytes > testMaxHeldBytes {
-		m.t.Fatalf("%d bytes are held, want at most %d", m.core.heldBytes, testMaxHeldBytes)
+	if m.core.queryBytes > testMaxQueryBytes {
+		m.t.Fatalf("%d bytes are held, want at most %d", m.core.queryBytes, testMaxQueryBytes)
 	}
 }
 
@@ -109,7 +109,7 @@
 	for name, left := range map[string]int{
 		"pending requests": c.PendingRequests(), "attempts in flight": c.AttemptsInFlight(), "known requests": len(c.requests),
 		"active names": len(c.activeNames), "engines with attempts in flight": len(c.inFlightByEngine),
-		"held bytes": c.heldBytes,
+		"held bytes": c.queryBytes,
 	} {
 		if left != 0 {
 			m.t.Fatalf("%d %s are left, want none", left, name)
@@ -141,7 +141,7 @@
 	case 0, 1:
 		class := rapid.IntRange(0, 1).Draw(m.t, "class")
 		name := rapid.SampledFrom([]string{"", "", "n1", "n2"}).Draw(m.t, "name")
-		size := rapid.IntRange(0, testMaxHeldBytes/2).Draw(m.t, "bytes")
+		size := rapid.IntRange(0, testMaxQueryBytes/2).Draw(m.t, "bytes")
 		m.submit(Query{Class: class, Remaining: 4 * time.Second, Name: name, Bytes: size})
 	case 2:
 		m.execute(c.TimerFired(m.now, 1<<63))
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -51,7 +51,7 @@
 	objective       time.Duration // latency objective, counted from submittedAt
 	attempts        []*attempt
 	inFlight        int // attempts that have not ended
-	heldBytes       int // Query.Bytes of an accepted query
+	bytes           int // Query.Bytes of an accepted query
 	replied         bool
 	responseStarted bool         // a part of the response was sent, so no further attempt is allowed
 	queueGuard      policy.Guard // the reason for queueing in the last debug record
@@ -78,8 +78,8 @@
 	if c.shuttingDown || c.overCapacity(q) {
 		return id, c.replyDirectly(now, id, Rejected, c.host.MaxRetryAfter)
 	}
-	r.heldBytes = q.Bytes
-	c.heldBytes += q.Bytes
+	r.bytes = q.Bytes
+	c.queryBytes += q.Bytes
 	return id, c.dispatch(now, policy.Arrival{
 		ID: id, Class: q.Class, TableGroup: q.TableGroup, EstimatedWork: q.EstimatedWork,
 		EstimatedMemoryMB: q.EstimatedMemoryMB, Remaining: q.Remaining, IsClientRetry: q.IsClientRetry,
@@ -91,11 +91,11 @@
 	if c.host.MaxPending > 0 && c.pending > c.host.MaxPending {
 		return true
 	}
-	limit := c.host.MaxHeldBytes
+	limit := c.host.MaxQueryBytes
 	if q.Bytes > largeQueryBytes { // large queries must leave room for the others
 		limit /= largeQueryDivisor
 	}
-	return c.host.MaxHeldBytes > 0 && c.heldBytes+q.Bytes > limit
+	return c.host.MaxQueryBytes > 0 && c.queryBytes+q.Bytes > limit
 }
 
 // latencyObjective returns the time after which a reply is late. The part that depends on the query's work is based on an
@@ -186,7 +186,7 @@
 	if r.replied && r.inFlight == 0 {
 		delete(c.requests, id)
 		delete(c.activeNames, r.name)
-		c.heldBytes -= r.heldBytes
-		r.heldBytes = 0 // the end of an attempt may remove its request twice
+		c.queryBytes -= r.bytes
+		r.bytes = 0 // the end of an attempt may remove its request twice
 	}
 }
--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -21,21 +21,21 @@
 // Share is the memory of one holder. It must be set to 0 when the holder ends.
 type Share struct {
 	limit *Limit
-	held  int // bytes
+	used  int // bytes
 }
 
-// Held returns the bytes that the holder has reported.
-func (s *Share) Held() int { return s.held }
+// Used returns the bytes that the holder has reported.
+func (s *Share) Used() int { return s.used }
 
 // Admits reports whether the holder may hold this many bytes more.
 func (s *Share) Admits(more int) bool {
-	return s.held+more <= s.limit.guaranteed || s.limit.used+more <= s.limit.max
+	return s.used+more <= s.limit.guaranteed || s.limit.used+more <= s.limit.max
 }
 
 // Set reports that the holder now holds this many bytes. It returns whether that is admitted; less than before always is.
-func (s *Share) Set(held int) (admitted bool) {
-	admitted = held <= s.held || s.Admits(held-s.held)
-	s.limit.used += held - s.held
-	s.held = held
+func (s *Share) Set(used int) (admitted bool) {
+	admitted = used <= s.used || s.Admits(used-s.used)
+	s.limit.used += used - s.used
+	s.used = used
 	return admitted
 }
--- a/internal/memlimit/memlimit_test.go
+++ b/internal/memlimit/memlimit_test.go
@@ -20,7 +20,7 @@
 		}
 		for range rapid.IntRange(1, 50).Draw(rt, "steps") {
 			s := &shares[rapid.IntRange(0, len(shares)-1).Draw(rt, "holder")]
-			before, held := s.Held(), rapid.IntRange(0, 600).Draw(rt, "held")
+			before, held := s.Used(), rapid.IntRange(0, 600).Draw(rt, "held")
 			admitted := s.Set(held)
 			if !admitted && (held <= before || held <= guaranteed) {
 				rt.Fatalf("%d bytes after %d are not admitted, although %d are guaranteed", held, before, guaranteed)
--- a/internal/program/setup.go
+++ b/internal/program/setup.go
@@ -107,7 +107,7 @@
 	limit := bufferLimit(s.conf)
 	loop := eventloop.New(time.Now(), limit)
 	invariants := invariant.New(log)
-	s.host.MaxHeldBytes = int(limit)
+	s.host.MaxQueryBytes = int(limit)
 	c, err := core.New(s.host, s.conf.SeedNumber(), log, invariants)
 	if err != nil {
 		return nil, err
@@ -150,7 +150,7 @@
 		if err != nil {
 			return err
 		}
-		config.MaxHeldBytes = int(bufferLimit(s.conf))
+		config.MaxMemory = int(bufferLimit(s.conf))
 		engines := enginepool.New(p.loop, p.log, s.host.ConnectTimeout, s.host.ConnIdleTimeout, sockets.mysqlEngines)
 		p.dispatcher.Pools = append(p.dispatcher.Pools, engines)
 		p.mysql = frontend.NewMySQLListener(p.dispatcher, engines, p.log, config)
--- a/internal/program/stats.go
+++ b/internal/program/stats.go
@@ -37,7 +37,7 @@
 	p.logVersions()
 	p.logSubset()
 	c := p.dispatcher.Core
-	p.log.Info("request counts", "total", c.Counts(), "open", c.PendingRequests(), "held_bytes", c.HeldBytes(), "out", c.AttemptsInFlight(),
+	p.log.Info("request counts", "total", c.Counts(), "open", c.PendingRequests(), "held_bytes", c.QueryBytes(), "out", c.AttemptsInFlight(),
 		"lag", p.loop.Lag(), "invariants", p.invariants.Violations())
 }
 
--- a/internal/protocol/enginehttp/pages.go
+++ b/internal/protocol/enginehttp/pages.go
@@ -89,8 +89,8 @@
 		attempt.Open{Channel: attempt.Primary, Fresh: true})
 }
 
-// discardLastPage removes the last page, so that it is requested again: the bytes that followed it on its connection may be the
-// rest of it. The first page is requested by a poll, as while the query was running.
+// discardLastPage removes the last page, so that it is requested again: its length may have been too short. The first page is
+// requested by a poll, as while the query was running.
 func (q *Query) discardLastPage() {
 	last := len(q.pages) - 1
 	q.resultBytes -= len(q.pages[last])
--- a/internal/protocol/mysql/exchange.go
+++ b/internal/protocol/mysql/exchange.go
@@ -212,7 +212,7 @@
 // handleResult handles bytes of the query's result. While the query is being killed, the end of the result confirms the kill.
 func (x *Exchange) handleResult(b []byte) {
 	relay, last, err := x.result.received(b)
-	if memoryErr := x.holdMetadata(); err == nil {
+	if memoryErr := x.reportMetadata(); err == nil {
 		err = memoryErr
 	}
 	if x.phase == phaseQuerySent && len(relay) > 0 {
@@ -235,8 +235,8 @@
 	}
 }
 
-// holdMetadata reports the memory of the result's metadata. It returns an error if more is held than is admitted.
-func (x *Exchange) holdMetadata() error {
+// reportMetadata reports the memory of the result's metadata. It returns an error if more is held than is admitted.
+func (x *Exchange) reportMetadata() error {
 	held := len(x.result.metadata)
 	if !x.metadata.Set(held) {
 		return fmt.Errorf("%w: %d bytes of result metadata exceed the memory of all", errMalformedPacket, held)
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -38,8 +38,8 @@
 	longDataOrder []uint16
 }
 
-// bytesHeld returns the memory that the statement holds between executions.
-func (s *statement) bytesHeld() int { return len(s.text) + len(s.paramTypes) + s.longDataSize }
+// memoryUsed returns the memory that the statement holds between executions.
+func (s *statement) memoryUsed() int { return len(s.text) + len(s.paramTypes) + s.longDataSize }
 
 // bytes returns the memory that the execution holds besides the statement.
 func (e *Execution) bytes() int {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,7 +17,7 @@
 	ConnIdleTimeout time.Duration // idle time after which engines close a connection
 	ConnectTimeout  time.Duration
 	MaxPending      int           // maximum number of pending requests; 0 = no limit
-	MaxHeldBytes    int           // maximum memory that frontends hold for active requests; 0 = no limit
+	MaxQueryBytes   int           // maximum memory that frontends hold for active requests; 0 = no limit
 	MaxRetryAfter   time.Duration // maximum Retry-After of a rejection
 	MachineTypes    []string      // names of machine types, in the order of policy.Settings.MachineTypes
 	Zones           []string      // zone names, indexed by zone number
--- a/internal/transport/frontend/fixture_test.go
+++ b/internal/transport/frontend/fixture_test.go
@@ -53,8 +53,8 @@
 	return newFixtureWithMemory(t, budget, 0, engines...)
 }
 
-// newFixtureWithMemory returns a fixture that holds at most maxHeldBytes of open queries; 0 = no limit.
-func newFixtureWithMemory(t *testing.T, budget, maxHeldBytes int, engines ...*nettest.Engine) *fixture {
+// newFixtureWithMemory returns a fixture that holds at most maxQueryBytes of open queries; 0 = no limit.
+func newFixtureWithMemory(t *testing.T, budget, maxQueryBytes int, engines ...*nettest.Engine) *fixture {
 	t.Helper()
 	loop, p := newPool(t, budget)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -66,7 +66,7 @@
 	module := policy.Settings{Classes: []policy.Class{class, nonIdempotent, keyed}, MachineTypes: []policy.MachineType{{Cores: 8}}, Gateways: 1,
 		Tick: 5 * time.Millisecond, MayCancel: true, MaxAttempts: 4}
 	host := settings.Host{MaxRetryAfter: 500 * time.Millisecond, MachineTypes: []string{"m"}, Zones: []string{"z"},
-		MaxHeldBytes: maxHeldBytes, Policy: module}
+		MaxQueryBytes: maxQueryBytes, Policy: module}
 	gatewayCore, err := core.New(host, 1, log, invariants)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -31,7 +31,7 @@
 	EnginePassword string                    // password of the gateway's account on engines
 	EnginePort     string                    // MySQL port of engines that are not in EngineAddrs
 	EngineAddrs    map[string]string         // MySQL addresses by engine name
-	MaxHeldBytes   int                       // memory that all clients together may hold between queries
+	MaxMemory      int                       // bytes that all clients together may hold between queries
 }
 
 // MySQLListener accepts clients that speak MySQL. Its methods are called on the loop.
@@ -57,7 +57,7 @@
 		pool:         pool,
 		log:          log,
 		config:       config,
-		memory:       memlimit.New(config.MaxHeldBytes, guaranteedBytes),
+		memory:       memlimit.New(config.MaxMemory, guaranteedBytes),
 		loginTimeout: defaultLoginTimeout,
 	}
 }
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -145,7 +145,7 @@
 
 // shutdownIfIdle implements closableConn. A connection with an incomplete line is kept, since the rest of the line may follow.
 func (c *client) shutdownIfIdle(minIdle time.Duration) (handledBytes bool) {
-	if c.line.Held() > 0 || len(c.requests) > 0 || c.listener.dispatcher.Loop.Now()-c.idleSince < minIdle {
+	if c.line.Used() > 0 || len(c.requests) > 0 || c.listener.dispatcher.Loop.Now()-c.idleSince < minIdle {
 		return false
 	}
 	return !c.closeIfIdle("stopped")
--- a/internal/transport/frontend/platform_test.go
+++ b/internal/transport/frontend/platform_test.go
@@ -110,7 +110,7 @@
 		nettest.Eventually(t, "an incomplete line", func() (incomplete bool) {
 			l.dispatcher.Loop.Do(func() {
 				for c = range l.open {
-					incomplete, timer = c.line.Held() == half, c.lineTimer
+					incomplete, timer = c.line.Used() == half, c.lineTimer
 				}
 			})
 			return incomplete
--- a/internal/transport/frontend/platform_timeouts.go
+++ b/internal/transport/frontend/platform_timeouts.go
@@ -55,7 +55,7 @@
 	c.lineTimer = nil
 	c.conn.DeliverPending() // the pending bytes may complete the line
 	switch {
-	case !c.conn.IsOpen() || c.line.Held() == 0:
+	case !c.conn.IsOpen() || c.line.Used() == 0:
 	case len(c.requests) == 0:
 		c.close("incomplete line")
 	case c.lineTimer == nil:
