--- a/review/standin-2/case10.go
+++ b/review/standin-2/case10.go
@@ -3,60 +3,169 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 )
 
-func init() { scenarios["case-10"] = playShortLength }
+func init() { scenarios["case-10"] = playTwoAttempts }
 
-const resultRowCount = 20
+// engineWatch collects what the engines report.
+type engineWatch struct {
+	mu     sync.Mutex
+	begins map[string][]attemptSeen // by query
+	conns  map[string]int           // by engine
+}
 
-// playShortLength: clients of the platform send lookups. The disruption is that one in ten good answers of the engines has a length that does
-// not fit: it ends after the first half of the rows, and the rest of the answer comes as a piece of its own.
-func playShortLength(w *world, trouble bool) (violations []string, err error) {
-	var engines []listedEngine
-	args := []string{fmt.Sprintf("-rows=%d", resultRowCount)}
-	if trouble {
-		args = append(args, "-spoil=10")
+// attemptSeen is an attempt as an engine saw it.
+type attemptSeen struct {
+	engine     string
+	begun, end time.Duration // end is 0 while it runs
+	outcome    string
+}
+
+func (s *engineWatch) follow(w *world, e *engineProcess) {
+	for line := range e.lines {
+		at := w.since()
+		s.mu.Lock()
+		var id string
+		var n int
+		if c, _ := fmt.Sscanf(line, "connections %d", &n); c == 1 {
+			s.conns[e.name] = n
+		} else if c, _ := fmt.Sscanf(line, "begins %s", &id); c == 1 {
+			s.begins[id] = append(s.begins[id], attemptSeen{engine: e.name, begun: at})
+		} else if rest, found := strings.CutPrefix(line, "ends "); found {
+			id, outcome, _ := strings.Cut(rest, ": ")
+			for i := range s.begins[id] {
+				if a := &s.begins[id][i]; a.engine == e.name && a.end == 0 {
+					a.end, a.outcome = at, outcome
+				}
+			}
+		}
+		s.mu.Unlock()
 	}
-	for i := range 2 {
-		e, err := w.startEngine("http-engine", fmt.Sprintf("s-%d", i+1), args...)
+}
+
+func (s *engineWatch) attempts(id string) []attemptSeen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]attemptSeen(nil), s.begins[id]...)
+}
+
+func (s *engineWatch) connections(engine string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns[engine]
+}
+
+// connsPerEngine is how many connections an engine holds ("query engines hold few connections").
+const connsPerEngine = 2
+
+// playTwoAttempts: an analyst's report runs for 11 s on an engine whose connections are all in use. The disruption is that the report's
+// connection is reset.
+func playTwoAttempts(w *world, trouble bool) (violations []string, err error) {
+	seen := &engineWatch{begins: map[string][]attemptSeen{}, conns: map[string]int{}}
+	proxies := map[string]*proxy{}
+	var engines []listedEngine
+	for i := range 3 {
+		e, err := w.startEngine("mysql-engine", fmt.Sprintf("s-%d", i+1), fmt.Sprintf("-max-connections=%d", connsPerEngine))
 		if err != nil {
 			return nil, err
 		}
-		engines = append(engines, listedEngine{name: e.name, addr: e.addr})
+		p, err := startProxy(e.addr)
+		if err != nil {
+			return nil, err
+		}
+		proxies[e.name] = p
+		engines = append(engines, listedEngine{name: e.name, addr: freeAddr("tcp"), mysql: p.addr})
+		go seen.follow(w, e)
 	}
-	g, err := w.startGateway(engines, false)
+	g, err := w.startGateway(engines, true)
 	if err != nil {
 		return nil, err
 	}
-	c, err := dialRPC(g.listen)
+	if err := w.warmUp(g, "warm"); err != nil {
+		return nil, err
+	}
+	analyst, err := dialMySQL(g.mysql, "analyst", "survey_17")
 	if err != nil {
 		return nil, err
 	}
-	served := 0
-	for i := range 80 {
-		rid, answer, err := c.send("lookup", fmt.Sprintf("SELECT answer FROM survey_17.forms WHERE form = %d", i), lookupBudget)
-		if err != nil {
+	answer := make(chan mysqlAnswer, 1)
+	w.record("analyst sends the report r1, budget 15 s, which takes 11 s")
+	go func() {
+		answer <- analyst.query("SELECT total FROM forms /* id=r1 ms=11000 rows=3 */", 20*time.Second, nil)
+	}()
+	carrier, err := seen.waitForBegin(w, "r1")
+	if err != nil {
+		return nil, err
+	}
+	// Ordinary lookups keep the gateway's other connections to the engine in use.
+	for i := 0; seen.connections(carrier) < connsPerEngine && i < 5; i++ {
+		if err := w.warmUp(g, fmt.Sprintf("more%d-", i)); err != nil {
 			return nil, err
 		}
-		select {
-		case a := <-answer:
-			if !a.Served {
-				w.record("lookup %s: error %d %s", rid, a.Code, a.Text)
-				continue
-			}
-			served++
-			rows := strings.Count(string(a.Body), "\n")
-			w.record("lookup %s: served with %d rows", rid, rows)
-			if string(a.Body) != strings.Join(resultRows(rid, resultRowCount), "") {
-				violations = append(violations, fmt.Sprintf("lookup %s was answered as served with %d rows, its result has %d", rid, rows, resultRowCount))
+	}
+	w.record("engine %s runs r1 and holds %d of %d connections", carrier, seen.connections(carrier), connsPerEngine)
+	if trouble {
+		w.record("the connection of r1 is reset: %v", proxies[carrier].resetCarrier("id=r1"))
+	}
+	a := <-answer
+	w.record("analyst got %d rows, ended %v, error %d %s", len(a.rows), a.ended, a.errCode, a.errText)
+	time.Sleep(4 * time.Second) // the engine's own end of the first attempt
+	return w.overlaps("r1", seen.attempts("r1")), nil
+}
+
+// warmUp sends six lookups of different table groups at once.
+func (w *world) warmUp(g *gateway, prefix string) error {
+	var group sync.WaitGroup
+	errs := make(chan error, 6)
+	for i := range 6 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			c, err := dialMySQL(g.mysql, "branch", fmt.Sprintf("survey_%d", 17+i))
+			if err != nil {
+				errs <- err
+				return
 			}
-		case <-time.After(lookupBudget + time.Second):
-			return nil, fmt.Errorf("lookup %s got no answer", rid)
+			defer c.conn.Close()
+			a := c.query(fmt.Sprintf("SELECT answer FROM forms /* id=%s%d ms=150 rows=1 */", prefix, i), 6*time.Second, nil)
+			w.record("lookup %s%d: %d rows, error %d %s", prefix, i, len(a.rows), a.errCode, a.errText)
+		}()
+	}
+	group.Wait()
+	select {
+	case err := <-errs:
+		return err
+	default:
+		return nil
+	}
+}
+
+// waitForBegin waits until an engine runs a query, and returns its name.
+func (s *engineWatch) waitForBegin(w *world, id string) (engine string, err error) {
+	for end := w.since() + 5*time.Second; w.since() < end; time.Sleep(5 * time.Millisecond) {
+		if a := s.attempts(id); len(a) > 0 {
+			return a[0].engine, nil
 		}
 	}
-	if served < 40 {
-		return nil, fmt.Errorf("only %d lookups were served at all", served)
+	return "", fmt.Errorf("no engine runs %s", id)
+}
+
+// overlaps returns the attempts of a query that began while an earlier one was still in flight.
+func (w *world) overlaps(id string, attempts []attemptSeen) (violations []string) {
+	for i, a := range attempts {
+		end := a.end
+		if end == 0 {
+			end = w.since()
+		}
+		w.record("attempt %d of %s: engine %s, %.2f s to %.2f s, %s", i+1, id, a.engine, a.begun.Seconds(), end.Seconds(), a.outcome)
+		for _, b := range attempts[i+1:] {
+			if b.begun < end {
+				violations = append(violations, fmt.Sprintf("engine %s began %s at %.2f s, while engine %s still ran it, until %.2f s",
+					b.engine, id, b.begun.Seconds(), a.engine, end.Seconds()))
+			}
+		}
 	}
-	return violations, nil
+	return violations
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,6 +1,8 @@
-// Command standin plays the cases 6 to 10 of the review. "standin case-N" plays one case: it starts the gateway with the run command of
+// Command standin plays the cases 6 to 10 of the review: "standin case-N" plays one. It starts the gateway with the run command of
 // deploy/balancer.toml, starts the engines as further processes of this program, and acts as the clients and the discovery server.
-// All addresses are loopback addresses.
+// All addresses are loopback addresses. It must be started in a folder of review/, where it writes record.txt.
+//
+// "standin short-length", "standin late-error" and "standin lost-execute" play faults that REPORT-2.md lists beside the cases.
 package main
 
 import (
@@ -26,7 +28,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin case-N | mysql-engine | http-engine")
+		fmt.Fprintln(os.Stderr, "usage: standin case-N | short-length | late-error | lost-execute")
 		os.Exit(exitUnusable)
 	}
 	switch os.Args[1] {
@@ -37,7 +39,7 @@
 	default:
 		play, known := scenarios[os.Args[1]]
 		if !known {
-			fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
+			fmt.Fprintln(os.Stderr, "there is no case", os.Args[1])
 			os.Exit(exitUnusable)
 		}
 		os.Exit(runCase(play))
