--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -e
 cd "$(dirname "$0")/standin-2"
 mkdir -p bin
-go build -o bin/ .
+GOWORK=off CGO_ENABLED=0 go build -o bin/ .
 mv bin/standin-2 bin/standin
--- a/review/standin-2/case10.go
+++ b/review/standin-2/case10.go
@@ -64,26 +64,14 @@
 // connection is reset.
 func playTwoAttempts(w *world, trouble bool) (violations []string, err error) {
 	seen := &engineWatch{begins: map[string][]attemptSeen{}, conns: map[string]int{}}
-	proxies := map[string]*proxy{}
-	var engines []listedEngine
-	for i := range 3 {
-		e, err := w.startEngine("mysql-engine", fmt.Sprintf("s-%d", i+1), fmt.Sprintf("-max-connections=%d", connsPerEngine))
-		if err != nil {
-			return nil, err
-		}
-		p, err := startProxy(e.addr)
-		if err != nil {
-			return nil, err
-		}
-		proxies[e.name] = p
-		engines = append(engines, listedEngine{name: e.name, addr: freeAddr("tcp"), mysql: p.addr})
-		go seen.follow(w, e)
-	}
-	g, err := w.startGateway(engines, true)
+	g, err := w.startMySQLFleet(3, fmt.Sprintf("-max-connections=%d", connsPerEngine))
 	if err != nil {
 		return nil, err
 	}
-	if err := w.warmUp(g, "warm"); err != nil {
+	for _, e := range g.engines {
+		go seen.follow(w, e)
+	}
+	if err := w.warmUp(g.gateway, "warm"); err != nil {
 		return nil, err
 	}
 	analyst, err := dialMySQL(g.mysql, "analyst", "survey_17")
@@ -101,13 +89,13 @@
 	}
 	// Ordinary lookups keep the gateway's other connections to the engine in use.
 	for i := 0; seen.connections(carrier) < connsPerEngine && i < 5; i++ {
-		if err := w.warmUp(g, fmt.Sprintf("more%d-", i)); err != nil {
+		if err := w.warmUp(g.gateway, fmt.Sprintf("more%d-", i)); err != nil {
 			return nil, err
 		}
 	}
 	w.record("engine %s runs r1 and holds %d of %d connections", carrier, seen.connections(carrier), connsPerEngine)
 	if trouble {
-		w.record("the connection of r1 is reset: %v", proxies[carrier].resetCarrier("id=r1"))
+		w.record("the connection of r1 is reset: %v", g.proxies[carrier].resetCarrier("id=r1"))
 	}
 	a := <-answer
 	w.record("analyst got %d rows, ended %v, error %d %s", len(a.rows), a.ended, a.errCode, a.errText)
--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -33,15 +33,7 @@
 // names a schema with another number. The case takes the part of the platform, which watches the memory of the gateway.
 func playMemoryGrows(w *world, trouble bool) (violations []string, err error) {
 	w.memoryMB = halfMemoryMB
-	var engines []listedEngine
-	for i := range 6 {
-		e, err := w.startEngine("http-engine", fmt.Sprintf("s-%d", i+1))
-		if err != nil {
-			return nil, err
-		}
-		engines = append(engines, listedEngine{name: e.name, addr: e.addr})
-	}
-	g, err := w.startGateway(engines, false)
+	g, err := w.startHTTPFleet(6, false)
 	if err != nil {
 		return nil, err
 	}
@@ -63,25 +55,34 @@
 			if err != nil {
 				return nil, err
 			}
-			w.record("gateway uses %.1f MB of %d MB; bad clients sent %d requests and got %d answers", mb, halfMemoryMB, traffic.sent.Load(), traffic.answered.Load())
+			w.record("gateway uses %.1f MB of %d MB; bad clients sent %d requests and got %d answers",
+				mb, halfMemoryMB, traffic.sent.Load(), traffic.answered.Load())
 			if mb > halfMemoryMB {
 				return []string{fmt.Sprintf("the gateway uses %.1f MB, its memory_mb is %d: the platform kills it", mb, halfMemoryMB)}, nil
 			}
 		}
-		rid, answer, err := c.send("lookup", fmt.Sprintf("SELECT answer FROM survey_%d.forms WHERE form = %d", 1+i%8, i), lookupBudget)
-		if err != nil {
+		if err := w.sendUsualLookup(c, i); err != nil {
 			return nil, err
 		}
-		sent := time.Now()
-		go func() {
-			a := <-answer
-			w.record("lookup %s: served %v after %.2f s %s", rid, a.Served, a.at.Sub(sent).Seconds(), a.Text)
-		}()
 		time.Sleep(200 * time.Millisecond)
 	}
 	return nil, nil
 }
 
+// sendUsualLookup sends a lookup and records its answer when it comes.
+func (w *world) sendUsualLookup(c *rpcClient, number int) error {
+	rid, answer, err := c.send("lookup", fmt.Sprintf("SELECT answer FROM survey_%d.forms WHERE form = %d", 1+number%8, number), lookupBudget)
+	if err != nil {
+		return err
+	}
+	sent := time.Now()
+	go func() {
+		a := <-answer
+		w.record("lookup %s: served %v after %.2f s %s", rid, a.Served, a.at.Sub(sent).Seconds(), a.Text)
+	}()
+	return nil
+}
+
 // run sends badOpen requests at once and reads their answers, again and again.
 func (b *badTraffic) run(addr string) {
 	conn, err := net.Dial("tcp", addr)
--- a/review/standin-2/case7.go
+++ b/review/standin-2/case7.go
@@ -14,15 +14,7 @@
 // playLoopHangs: clients of the platform send lookups. The disruption is a bad client at the gateway's MySQL listener, which prepares a single
 // long statement of comment lines.
 func playLoopHangs(w *world, trouble bool) (violations []string, err error) {
-	var engines []listedEngine
-	for i := range 2 {
-		e, err := w.startEngine("http-engine", fmt.Sprintf("s-%d", i+1))
-		if err != nil {
-			return nil, err
-		}
-		engines = append(engines, listedEngine{name: e.name, addr: e.addr})
-	}
-	g, err := w.startGateway(engines, true)
+	g, err := w.startHTTPFleet(2, true)
 	if err != nil {
 		return nil, err
 	}
@@ -31,7 +23,6 @@
 		return nil, err
 	}
 	var open []pendingLookup
-	served := 0
 	for i := range 30 { // 6 s
 		if i == 10 && trouble {
 			if err := w.sendLongPrepare(g); err != nil {
@@ -46,6 +37,12 @@
 		w.record("client sent the lookup %s, budget %v", rid, lookupBudget)
 		time.Sleep(200 * time.Millisecond)
 	}
+	return w.lateLookups(open)
+}
+
+// lateLookups waits for the answers of lookups, and returns those that are late or missing.
+func (w *world) lateLookups(open []pendingLookup) (violations []string, err error) {
+	served := 0
 	bound := lookupBudget + socketSlack + lateAnswer
 	for _, p := range open {
 		a, answered := p.wait(bound)
--- a/review/standin-2/case8.go
+++ b/review/standin-2/case8.go
@@ -23,15 +23,7 @@
 // playLoadLost: a branch sends loads of 60 KB, one after the other, on a kept connection. The disruption are bad clients with messages that
 // never end. A load whose connection ends without an answer is sent once more on a new connection.
 func playLoadLost(w *world, trouble bool) (violations []string, err error) {
-	var engines []listedEngine
-	for i := range 2 {
-		e, err := w.startEngine("http-engine", fmt.Sprintf("s-%d", i+1))
-		if err != nil {
-			return nil, err
-		}
-		engines = append(engines, listedEngine{name: e.name, addr: e.addr})
-	}
-	g, err := w.startGateway(engines, false)
+	g, err := w.startHTTPFleet(2, false)
 	if err != nil {
 		return nil, err
 	}
@@ -46,18 +38,16 @@
 			held = w.sendEndlessMessages(g)
 			time.Sleep(300 * time.Millisecond)
 		}
-		answered := false
-		for try := 1; try <= 2 && !answered; try++ {
-			if answered, err = w.sendLoad(c, statement); err != nil {
-				return nil, err
-			}
-			if !answered {
-				if c, err = dialRPC(g.listen); err != nil {
-					return nil, err
-				}
+		answered, err := w.sendLoad(c, statement)
+		if err == nil && !answered {
+			if c, err = dialRPC(g.listen); err == nil {
+				answered, err = w.sendLoad(c, statement)
 			}
 		}
 		runtime.KeepAlive(held) // the connections of the bad clients stay open until here
+		if err != nil {
+			return nil, err
+		}
 		if !answered {
 			violations = append(violations, fmt.Sprintf("load %d was sent, and sent once more on a new connection, and got no answer", i+1))
 			return violations, nil
--- a/review/standin-2/case9.go
+++ b/review/standin-2/case9.go
@@ -11,15 +11,7 @@
 // playForeignSchema: two branch tools use the gateway's MySQL listener, each with the schema of its own survey. The disruption is that the
 // second tool names its schema by a USE statement with a comment.
 func playForeignSchema(w *world, trouble bool) (violations []string, err error) {
-	var engines []listedEngine
-	for i := range 2 {
-		e, err := w.startEngine("mysql-engine", fmt.Sprintf("s-%d", i+1))
-		if err != nil {
-			return nil, err
-		}
-		engines = append(engines, listedEngine{name: e.name, addr: freeAddr("tcp"), mysql: e.addr})
-	}
-	g, err := w.startGateway(engines, true)
+	g, err := w.startMySQLFleet(2)
 	if err != nil {
 		return nil, err
 	}
@@ -34,14 +26,7 @@
 	right, failed := 0, 0
 	for i := range 60 {
 		if i == 20 {
-			text := "USE survey_18"
-			if trouble {
-				text += " /* desk 4 */"
-			}
-			for range 4 {
-				a := second.query(text, 5*time.Second, nil)
-				w.record("second tool sent %q: error %d %s", text, a.errCode, a.errText)
-			}
+			w.changeSchema(second, trouble)
 		}
 		id := fmt.Sprintf("q%d", i)
 		text := fmt.Sprintf("SELECT answer FROM forms WHERE form = %d /* id=%s ms=20 rows=2 */", i, id)
@@ -65,3 +50,15 @@
 	}
 	return violations, nil
 }
+
+// changeSchema makes a client change its schema, four times.
+func (w *world) changeSchema(c *mysqlClient, withComment bool) {
+	text := "USE survey_18"
+	if withComment {
+		text += " /* desk 4 */"
+	}
+	for range 4 {
+		a := c.query(text, 5*time.Second, nil)
+		w.record("second tool sent %q: error %d %s", text, a.errCode, a.errText)
+	}
+}
--- a/review/standin-2/lateerror.go
+++ b/review/standin-2/lateerror.go
@@ -11,17 +11,7 @@
 // playEngineDiesMidResult: branch tools send lookups over MySQL. The disruption is that the engine of one of them is killed after the client
 // has got a part of the rows.
 func playEngineDiesMidResult(w *world, trouble bool) (violations []string, err error) {
-	processes := map[string]*engineProcess{}
-	var engines []listedEngine
-	for i := range 3 {
-		e, err := w.startEngine("mysql-engine", fmt.Sprintf("s-%d", i+1))
-		if err != nil {
-			return nil, err
-		}
-		processes[e.name] = e
-		engines = append(engines, listedEngine{name: e.name, addr: freeAddr("tcp"), mysql: e.addr})
-	}
-	g, err := w.startGateway(engines, true)
+	g, err := w.startMySQLFleet(3)
 	if err != nil {
 		return nil, err
 	}
@@ -39,17 +29,18 @@
 		if rows++; rows == 1 {
 			w.record("client got the first row after %.2f s", time.Since(sent).Seconds())
 			if trouble {
-				w.killEngineOf("q1", processes)
+				w.killEngineOf("q1", g.engines)
 			}
 		}
 	})
 	took := time.Since(sent)
-	w.record("client got %d rows and the end of the answer after %.2f s: ended %v, error %d %s", len(a.rows), took.Seconds(), a.ended, a.errCode, a.errText)
+	w.record("client got %d rows and the end of the answer after %.2f s: ended %v, error %d %s",
+		len(a.rows), took.Seconds(), a.ended, a.errCode, a.errText)
 	if rows == 0 {
 		return nil, fmt.Errorf("no row came")
 	}
 	if bound := lookupBudget + socketSlack + lateAnswer; !a.ended || took > bound {
-		violations = append(violations, fmt.Sprintf("lookup q1 had no final answer %.2f s after it was sent; its client waits %v, and an answer is lost after %v",
+		violations = append(violations, fmt.Sprintf("lookup q1 had no final answer %.2f s after it was sent, with a budget of %v; it is lost after %v",
 			took.Seconds(), lookupBudget, bound))
 	}
 	return violations, nil
--- a/review/standin-2/lostexecute.go
+++ b/review/standin-2/lostexecute.go
@@ -12,11 +12,7 @@
 // playClosedMidQuery: a branch tool keeps 20 prepared statements, and executes one after the other. The disruption is another client, which
 // prepares statements until the gateway takes no more.
 func playClosedMidQuery(w *world, trouble bool) (violations []string, err error) {
-	e, err := w.startEngine("mysql-engine", "s-1")
-	if err != nil {
-		return nil, err
-	}
-	g, err := w.startGateway([]listedEngine{{name: e.name, addr: freeAddr("tcp"), mysql: e.addr}}, true)
+	g, err := w.startMySQLFleet(1)
 	if err != nil {
 		return nil, err
 	}
@@ -38,7 +34,7 @@
 	w.record("branch tool prepared %d statements of 1,000 bytes", statements)
 	for i, id := range ids {
 		if i == statements/2 && trouble {
-			held, err := w.fillMemory(g)
+			held, err := w.fillMemory(g.gateway)
 			if err != nil {
 				return nil, err
 			}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +56,13 @@
 		return exitUnusable
 	}
 	defer w.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		w.close()
+		os.Exit(exitUnusable)
+	}()
 	time.AfterFunc(caseTimeout, func() {
 		w.record("the case took longer than %v", caseTimeout)
 		w.close()
--- a/review/standin-2/mysqlclient.go
+++ b/review/standin-2/mysqlclient.go
@@ -137,39 +137,53 @@
 	if err := writePackets(c.conn, 0, payload); err != nil {
 		return mysqlAnswer{errText: err.Error(), ended: true}
 	}
-	definitions := -1 // -1 = the header of the result has not been read
-	inRows := false
-	for {
+	for state := headerNext; !a.ended; {
 		p, err := readPacket(c.in)
 		var late net.Error
-		switch {
-		case errors.As(err, &late) && late.Timeout():
+		if errors.As(err, &late) && late.Timeout() {
 			a.errText = "no end of the answer"
 			return a
-		case err != nil:
+		}
+		if err != nil {
 			a.errText, a.ended = "the connection ended: "+err.Error(), true
 			return a
-		case p[0] == 0xff:
-			a.errCode, a.errText, a.ended = int(binary.LittleEndian.Uint16(p[1:])), string(p[9:]), true
-			return a
-		case definitions < 0 && p[0] == 0:
-			a.ended = true
-			return a
-		case definitions < 0:
-			definitions = int(p[0])
-		case !inRows && p[0] == 0xfe:
-			inRows = true
-		case inRows && p[0] == 0xfe && len(p) < 9:
-			a.ended = true
-			return a
-		case inRows:
-			row := rowText(p)
-			a.rows = append(a.rows, row)
-			if onRow != nil {
-				onRow(row)
-			}
+		}
+		rows := len(a.rows)
+		state = a.accept(p, state)
+		if onRow != nil && len(a.rows) > rows {
+			onRow(a.rows[rows])
 		}
 	}
+	return a
+}
+
+// answerState is what a client expects next of an answer.
+type answerState int
+
+const (
+	headerNext answerState = iota
+	definitionsNext
+	rowsNext
+)
+
+// accept handles a packet of an answer.
+func (a *mysqlAnswer) accept(p []byte, state answerState) answerState {
+	const okHeader, eofHeader, errHeader, maxEOF = 0x00, 0xfe, 0xff, 8
+	eof := p[0] == eofHeader && len(p) <= maxEOF
+	switch {
+	case p[0] == errHeader:
+		a.errCode, a.errText, a.ended = int(binary.LittleEndian.Uint16(p[1:])), string(p[9:]), true
+	case state == headerNext:
+		a.ended = p[0] == okHeader
+		return definitionsNext
+	case state == definitionsNext && eof:
+		return rowsNext
+	case state == rowsNext && eof:
+		a.ended = true
+	case state == rowsNext:
+		a.rows = append(a.rows, rowText(p))
+	}
+	return state
 }
 
 // rowText returns the only column of a row.
--- a/review/standin-2/mysqlengine.go
+++ b/review/standin-2/mysqlengine.go
@@ -174,8 +174,9 @@
 func (s *mysqlSession) prepare(text string) error {
 	s.prepared = append(s.prepared, text)
 	params := strings.Count(comments.ReplaceAllString(text, " "), "?")
-	head := string(binary.LittleEndian.AppendUint32([]byte{0}, uint32(len(s.prepared)))) + "\x00\x00" + string([]byte{byte(params), byte(params >> 8)}) + "\x00\x00\x00"
-	payloads := []string{head}
+	head := binary.LittleEndian.AppendUint32([]byte{0}, uint32(len(s.prepared)))
+	head = append(head, 0, 0, byte(params), byte(params>>8), 0, 0, 0) // no columns yet
+	payloads := []string{string(head)}
 	for range params {
 		payloads = append(payloads, columnDefinition)
 	}
--- a/review/standin-2/shortlength.go
+++ b/review/standin-2/shortlength.go
@@ -13,19 +13,11 @@
 // playShortLength: clients of the platform send lookups. The disruption is that one in ten good answers of the engines has a length that does
 // not fit: it ends after the first half of the rows, and the rest of the answer comes as a piece of its own.
 func playShortLength(w *world, trouble bool) (violations []string, err error) {
-	var engines []listedEngine
 	args := []string{fmt.Sprintf("-rows=%d", resultRowCount)}
 	if trouble {
 		args = append(args, "-spoil=10")
 	}
-	for i := range 2 {
-		e, err := w.startEngine("http-engine", fmt.Sprintf("s-%d", i+1), args...)
-		if err != nil {
-			return nil, err
-		}
-		engines = append(engines, listedEngine{name: e.name, addr: e.addr})
-	}
-	g, err := w.startGateway(engines, false)
+	g, err := w.startHTTPFleet(2, false, args...)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -250,13 +250,14 @@
 	return string(match[1]), nil
 }
 
-// emptyPasswordHash is any hash; the accounts of the cases have the password 'password'.
-const emptyPasswordHash = "*2470C0C06DEE42FD1618BB99005ADCA2EC9D1E19"
+// passwordHash is the hash of mysqlPassword, which all accounts of the cases have.
+const passwordHash = "*2470C0C06DEE42FD1618BB99005ADCA2EC9D1E19"
 
 // operatorFile returns deploy/platform.toml's sections with a MySQL listener and an account for each usual class.
 func operatorFile(listen string, engines []listedEngine) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[membership]\nfleet = \"review\"\n\n[spread]\n\n[mysql]\nlisten = %q\nengine_port = 3306\nengine_user = \"gateway\"\nengine_password = \"\"\n\n[mysql.engines]\n", listen)
+	fmt.Fprintf(&b, "[membership]\nfleet = \"review\"\n\n[spread]\n\n[mysql]\nlisten = %q\nengine_port = 3306\nengine_user = \"gateway\"\n"+
+		"engine_password = \"\"\n\n[mysql.engines]\n", listen)
 	for _, e := range engines {
 		if e.mysql != "" {
 			fmt.Fprintf(&b, "%q = %q\n", e.name, e.mysql)
@@ -264,7 +265,8 @@
 	}
 	users := map[string]string{"lookup": "branch", "report": "analyst", "form-load": "loader"}
 	for _, c := range usualClasses {
-		fmt.Fprintf(&b, "\n[[mysql.account]]\nuser = %q\npassword_hash = %q\nclass = %q\nbudget_ms = %d\n", users[c.name], emptyPasswordHash, c.name, c.giveUp.Milliseconds())
+		fmt.Fprintf(&b, "\n[[mysql.account]]\nuser = %q\npassword_hash = %q\nclass = %q\nbudget_ms = %d\n",
+			users[c.name], passwordHash, c.name, c.giveUp.Milliseconds())
 	}
 	return b.String()
 }
