--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -16,7 +16,8 @@
 
 // Parameters of case 6.
 const (
-	halfMemoryMB  = mostMemoryMB / 2 // "half the memory"
+	halfMemoryMB  = mostMemoryMB / 2 // "half the memory and descriptors"
+	halfSockets   = mostSockets / 2
 	badConns      = 6
 	badOpen       = 32 // requests that are open on a connection at once
 	badBudgetMS   = 1  // "requests with very little time left"
@@ -32,7 +33,7 @@
 // time left, 32 at once on each connection, read all answers, and send the next ones as soon as these are turned away. Each of their statements
 // names a schema with another number. The case takes the part of the platform, which watches the memory of the gateway.
 func playMemoryGrows(w *world, trouble bool) (violations []string, err error) {
-	w.memoryMB = halfMemoryMB
+	w.memoryMB, w.sockets = halfMemoryMB, halfSockets
 	g, err := w.startHTTPFleet(6, false)
 	if err != nil {
 		return nil, err
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -18,16 +18,19 @@
 
 const readyTimeout = 10 * time.Second
 
-// mostMemoryMB is the memory limit of a gateway ("at most 192 MB").
-const mostMemoryMB = 192
+// The largest limits of a gateway ("at most 192 MB and 1,024 descriptors").
+const (
+	mostMemoryMB = 192
+	mostSockets  = 1024
+)
 
 // world holds the processes, the record and the temporary folder of a case.
 type world struct {
 	started time.Time
 	root    string // root of the repository
 	dir     string // temporary folder
-	// memoryMB is the memory limit in the configuration of the gateway.
-	memoryMB int
+	// memoryMB and sockets are the limits in the configuration of the gateway.
+	memoryMB, sockets int
 
 	mu        sync.Mutex
 	file      *os.File
@@ -49,7 +52,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &world{started: time.Now(), root: filepath.Join(here, "..", ".."), dir: dir, file: file, memoryMB: mostMemoryMB}, nil
+	return &world{
+		started: time.Now(), root: filepath.Join(here, "..", ".."), dir: dir, file: file, memoryMB: mostMemoryMB, sockets: mostSockets,
+	}, nil
 }
 
 // since returns the time since the start of the case.
@@ -192,7 +197,8 @@
 		return nil, err
 	}
 	config, err := json.Marshal(map[string]any{
-		"name": "n0", "listen": g.listen, "seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1.0, "memory_mb": w.memoryMB, "sockets": 1024},
+		"name": "n0", "listen": g.listen, "seed": "8c1f30d27a5be964",
+		"limits":      map[string]any{"cores": 1.0, "memory_mb": w.memoryMB, "sockets": w.sockets},
 		"peer_listen": peer, "peers": []string{peer}, "bulletin": bulletin.addr,
 		"known":    map[string]any{"no": len(bulletin.events), "items": bulletin.events},
 		"settings": settingsObject(usualClasses),
