policy: table groups that clients name no longer fill the memory

Cause: the state of a group was created by each arrival, also by one that is rejected at once, and removed only with an engine list. The same held for ordering keys with a pause. The sums of the retry budget moved all amounts for each that expired.

Change: groups count their requests. Keys are removed every second. Groups are kept sorted by ID, so that home engines cost no sorting. Sliding sums drop expired amounts many at a time.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -41,7 +41,7 @@
 // openRequest creates the state of a new request and appends it to the queue of its ordering key, if it has one.
 func (g *Gateway) openRequest(a Arrival) *request {
 	c := g.classes[a.Class]
-	r := &request{Arrival: a, class: c, group: g.tableGroup(a.TableGroup), deadline: g.now + a.Remaining}
+	r := &request{Arrival: a, class: c, group: g.useGroup(a.TableGroup), deadline: g.now + a.Remaining}
 	objective := c.LatencyObjective + toDuration(c.ObjectivePerWork*g.expectedWork(r)/c.threads)
 	r.objectiveDeadline = min(g.now+objective, r.deadline)
 	g.requests[a.ID] = r
--- a/policy/affinity.go
+++ b/policy/affinity.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -31,27 +30,6 @@
 	twoHomesMinGateways = 20
 )
 
-// group is the state of a table group, the paper's affinity cluster.
-type group struct {
-	id            int
-	ownThreads    float64 // group #T: threads of own attempts in flight
-	affinitySet   []*engine
-	lastUsed      map[EngineID]time.Duration // time of the group's last send, by engine of the set
-	setCores      float64                    // sum of the cores of the set
-	overloaded    bool                       // result of the latest overload test
-	recentThreads decayingSum                // threads of recent sends
-	answers       []groupAnswers             // recent answers to queries that are not idempotent, by engine
-}
-
-// tableGroup returns the state of a table group and creates it if necessary.
-func (g *Gateway) tableGroup(id int) *group {
-	if g.groups[id] == nil {
-		g.groups[id] = &group{id: id, lastUsed: map[EngineID]time.Duration{}}
-		g.homeByGroup = nil
-	}
-	return g.groups[id]
-}
-
 // affinitySet returns the affinity set of a group. It first removes the engines that are not ready or that the group
 // has not used for setMemberIdleTimeout, and adds a first engine if the set is empty.
 func (g *Gateway) affinitySet(gr *group) []*engine {
@@ -152,12 +130,15 @@
 // home number. Gateways prefer it as the first engine of the group's affinity set, so that only a few engines need to
 // cache the group's data. It returns nil if no engine is ready.
 func (g *Gateway) homeEngine(gr *group) *engine {
-	if g.homeByGroup == nil {
-		ids := slices.Sorted(maps.Keys(g.groups))
+	if !g.homesAssigned {
 		homeNumber := g.settings.GatewayIndex % g.homesPerGroup()
-		g.homeByGroup = assignHomes(ids, g.homeCandidates(), homeNumber)
+		assignHomes(g.groupsByID, g.homeCandidates(), homeNumber)
+		g.homesAssigned = true
+	}
+	if known := g.groups[gr.id]; known != nil {
+		return known.home
 	}
-	return g.homeByGroup[gr.id]
+	return nil
 }
 
 // homesPerGroup returns the number of home engines that a group has across all gateways. With many gateways it is two,
@@ -181,22 +162,22 @@
 }
 
 // assignHomes assigns a home engine to each group by rendezvous hashing, but assigns no engine more than an even share
-// of the groups. Different values of homeNumber give different assignments.
-func assignHomes(groups []int, engines []*engine, homeNumber int) map[int]*engine {
-	homes, assigned := map[int]*engine{}, map[EngineID]int{}
+// of the groups. Different values of homeNumber give different assignments. The groups must be sorted by ID.
+func assignHomes(groups []*group, engines []*engine, homeNumber int) {
+	assigned := make([]int, len(engines))
 	evenShare := (len(groups) + len(engines) - 1) / max(1, len(engines))
-	for _, id := range groups {
-		key := id + homeNumber<<32
-		var best *engine
-		for _, e := range engines {
-			if assigned[e.ID] < evenShare && (best == nil || hashPair(key, e.ID) > hashPair(key, best.ID)) {
-				best = e
+	for _, gr := range groups {
+		key := gr.id + homeNumber<<32
+		best, bestHash := -1, uint64(0)
+		for i, e := range engines {
+			if hash := hashPair(key, e.ID); assigned[i] < evenShare && (best < 0 || hash > bestHash) {
+				best, bestHash = i, hash
 			}
 		}
-		if best != nil {
-			assigned[best.ID]++
+		gr.home = nil
+		if best >= 0 {
+			gr.home = engines[best]
+			assigned[best]++
 		}
-		homes[id] = best
 	}
-	return homes
 }
--- a/policy/collections.go
+++ b/policy/collections.go
@@ -30,6 +30,7 @@
 type slidingSum struct {
 	times   []time.Duration
 	amounts []float64
+	expired int // amounts at the start that are no longer part of the sum
 	sum     float64
 }
 
@@ -39,28 +40,28 @@
 	s.sum += amount
 }
 
-// subtractAt lowers an amount that was added at the given time, if it is still stored.
+// subtractAt lowers an amount that was added at the given time, if it is still part of the sum.
 func (s *slidingSum) subtractAt(at time.Duration, amount float64) {
-	if i, found := slices.BinarySearch(s.times, at); found {
-		s.amounts[i] -= amount
+	if i, found := slices.BinarySearch(s.times[s.expired:], at); found {
+		s.amounts[s.expired+i] -= amount
 		s.sum -= amount
 	}
 }
 
 // total drops the amounts that are older than span and returns the sum of the rest.
 func (s *slidingSum) total(now, span time.Duration) float64 {
-	expired := 0
-	for expired < len(s.times) && s.times[expired] < now-span {
-		s.sum -= s.amounts[expired]
-		expired++
+	for s.expired < len(s.times) && s.times[s.expired] < now-span {
+		s.sum -= s.amounts[s.expired]
+		s.expired++
 	}
-	if expired > 0 {
-		s.times = slices.Delete(s.times, 0, expired)
-		s.amounts = slices.Delete(s.amounts, 0, expired)
-	}
-	if len(s.times) == 0 {
+	if s.expired == len(s.times) {
 		s.sum = 0 // clears rounding errors
 	}
+	if 2*s.expired >= len(s.times) { // moving the rest for each expired amount would take quadratic time
+		s.times = slices.Delete(s.times, 0, s.expired)
+		s.amounts = slices.Delete(s.amounts, 0, s.expired)
+		s.expired = 0
+	}
 	return s.sum
 }
 
--- a/policy/engines.go
+++ b/policy/engines.go
@@ -120,7 +120,7 @@
 // updateFleet recomputes the state derived from the set of ready engines.
 func (g *Gateway) updateFleet() {
 	g.readyEngines = filter(g.engines, g.engineReady)
-	g.readyCores, g.homeByGroup = sumOf(g.readyEngines, engineCores), nil
+	g.readyCores, g.homesAssigned = sumOf(g.readyEngines, engineCores), false
 	g.updateAvailableCores()
 	if g.windowPerCore == 0 {
 		g.windowPerCore = g.initialWindow()
@@ -132,19 +132,8 @@
 // the state stays bounded.
 func (g *Gateway) expireState() {
 	g.engines = slices.DeleteFunc(g.engines, g.expireEngine)
-	for id, gr := range g.groups {
-		if gr.ownThreads == 0 && g.now-gr.recentThreads.updatedAt > stateExpiry {
-			for len(gr.affinitySet) > 0 {
-				g.removeFromSet(gr, gr.affinitySet[0])
-			}
-			delete(g.groups, id)
-		}
-	}
-	for key, queue := range g.keyQueues {
-		if len(queue.requests) == 0 && g.now >= queue.pausedUntil {
-			delete(g.keyQueues, key)
-		}
-	}
+	g.expireGroups()
+	g.expireKeyQueues()
 }
 
 // expireEngine reports whether an engine left the fleet long enough ago to be deleted. If so, it removes the engine
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -60,6 +60,8 @@
 	queue        []*request // requests waiting for dispatch, in queue order
 	keyQueues    map[uint64]*keyQueue
 
+	nextKeyExpiry time.Duration // earliest time of the next search for ordering keys that are not needed any more
+
 	// Engines and table groups.
 	engines           []*engine // sorted by ID
 	readyEngines      []*engine // engines listed with the health Ready
@@ -67,8 +69,9 @@
 	readyCores        float64 // sum of the cores of the ready engines
 	usedCores         float64 // sum of the cores of the ready engines that this gateway has used
 	groups            map[int]*group
-	homeByGroup       map[int]*engine // cache of home engines; nil = must be recomputed
-	usesSubset        bool            // the engine list is a subset of the fleet
+	groupsByID        []*group // the same groups, sorted by ID
+	homesAssigned     bool     // the groups have their home engines
+	usesSubset        bool     // the engine list is a subset of the fleet
 	gatewaysInService float64
 
 	// Load.
@@ -206,6 +209,9 @@
 	for _, e := range g.engines {
 		g.checkHealth(e)
 	}
+	if g.now >= g.nextKeyExpiry {
+		g.expireKeyQueues()
+	}
 	g.updateAvailableCores()
 	slices.SortStableFunc(g.queue, g.compareQueueOrder)
 	queuedWork := sumOf(g.queue, g.expectedWork)
@@ -228,7 +234,7 @@
 func (g *Gateway) handleGatewaysInService(event GatewaysInService) {
 	g.gatewaysInService = float64(min(max(1, event.Count), g.settings.Gateways))
 	if event.UsesSubset != g.usesSubset {
-		g.usesSubset, g.homeByGroup = event.UsesSubset, nil
+		g.usesSubset, g.homesAssigned = event.UsesSubset, false
 	}
 }
 
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// keyExpiryInterval is the time between two searches for ordering keys that are not needed any more. Clients choose the
+// keys, so that they could otherwise fill the memory.
+const keyExpiryInterval = time.Second
+
 // request is the state of a request that has no final answer yet or still has attempts in flight.
 type request struct {
 	Arrival
@@ -118,7 +122,7 @@
 	if r.inFlight > 0 {
 		return
 	}
-	delete(g.requests, r.ID)
+	g.deleteRequest(r)
 	if queue := g.keyQueues[r.OrderingKey]; queue != nil {
 		queue.requests = remove(queue.requests, r)
 		if len(queue.requests) == 0 && g.now >= queue.pausedUntil {
@@ -126,3 +130,22 @@
 		}
 	}
 }
+
+// deleteRequest deletes the state of a request, and its table group's if nothing else needs it.
+func (g *Gateway) deleteRequest(r *request) {
+	if g.requests[r.ID] != r {
+		return
+	}
+	delete(g.requests, r.ID)
+	g.releaseGroup(r.group)
+}
+
+// expireKeyQueues removes ordering keys without requests whose pause has ended.
+func (g *Gateway) expireKeyQueues() {
+	g.nextKeyExpiry = g.now + keyExpiryInterval
+	for key, queue := range g.keyQueues {
+		if len(queue.requests) == 0 && g.now >= queue.pausedUntil {
+			delete(g.keyQueues, key)
+		}
+	}
+}
