mysql: statements are read in linear time

Callers saw no answer on either listener for about 100 s after one COM_STMT_PREPARE of just under 1 MB of empty comment lines.

Cause: countPlaceholders copied the rest of the statement for each line comment, on the event loop.

Change: a lexer reads each byte once.

--- a/internal/protocol/mysql/sqltext.go
+++ b/internal/protocol/mysql/sqltext.go
@@ -18,39 +18,15 @@
 // identifiers and comments.
 func countPlaceholders(text string) int {
 	count := 0
-	for i := 0; i < len(text); i++ {
-		switch b := text[i]; {
-		case b == '?':
+	l := lexer{rest: text}
+	for t := l.next(); t.kind != tokenEnd; t = l.next() {
+		if t.text == "?" {
 			count++
-		case b == '\'' || b == '"' || b == '`':
-			i = closingQuote(text, i)
-		case b == '#' || strings.HasPrefix(text[i:], "-- "):
-			i += max(0, strings.IndexByte(text[i:]+"\n", '\n'))
-		case strings.HasPrefix(text[i:], "/*"):
-			end := strings.Index(text[i+2:], "*/")
-			if end < 0 {
-				return count
-			}
-			i += 2 + end + 1
 		}
 	}
 	return count
 }
 
-// closingQuote returns the index of the quote that closes the one at open, or an index past the end of the text if there is
-// none. A backslash escapes the next byte, except in quoted identifiers.
-func closingQuote(text string, open int) int {
-	quote := text[open]
-	i := open + 1
-	for i < len(text) && text[i] != quote {
-		if text[i] == '\\' && quote != '`' {
-			i++
-		}
-		i++
-	}
-	return i
-}
-
 // stripLeadingComments removes the comments before a statement, so that it can be matched against patterns. Executable
 // comments ("/*!") are part of the statement.
 func stripLeadingComments(text string) string {
