frontend: a long line takes the place of the one that waits longest

Callers saw a form-load of 60 KB dropped without an answer, on a kept and on a new connection, while other clients held the beginnings of long messages.

Cause: when incomplete lines filled their share of the memory, the connection that sent the next bytes was closed, whoever held the memory.

Change: the long line whose client has sent nothing for the longest time is given up. What that client has sent is read first. While all are sending, the lines exceed their limit by 1 MB at most.

Tests: TestIncompleteLineMemoryIsLimited demanded that the newest line is closed, which is the fault; it is replaced by TestLongLineReplacesWaitingIncompleteLine, which demands that exactly the longest waiting one is closed and that all others are answered. It failed before (EOF in place of the answer to a line of 32 KB). TestLineSentWholeIsNotGivenUp and TestLinesOfSendingClientsStayNearLimit are new.

--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -15,6 +15,9 @@
 // Used returns the bytes that all holders together hold.
 func (l *Limit) Used() int { return l.used }
 
+// Excess returns the bytes by which all holders together exceed the maximum. It is negative while they do not.
+func (l *Limit) Excess() int { return l.used - l.max }
+
 // NewShare returns the share of a new holder, which holds nothing yet.
 func (l *Limit) NewShare() Share { return Share{limit: l} }
 
--- a/internal/transport/frontend/platform.go
+++ b/internal/transport/frontend/platform.go
@@ -36,6 +36,7 @@
 
 	maxConns       int             // including connections that are being closed
 	lineMemory     *memlimit.Limit // of incomplete lines
+	makingRoom     bool            // incomplete lines are being given up, see makeRoomForLine
 	requestTimeout time.Duration   // for the first request, and for the rest of an incomplete line
 	serving        bool            // as reported by ping
 }
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"time"
 
 	"frostpier/internal/core"
@@ -11,9 +10,6 @@
 	"frostpier/internal/transport/eventloop"
 )
 
-// errIncompleteLines is the reason for closing a connection with a long incomplete line while all incomplete lines exceed their memory limit.
-var errIncompleteLines = errors.New("incomplete lines of all clients exceed their memory limit")
-
 // client is the connection of one of the platform's clients. Its methods are called on the loop.
 type client struct {
 	listener *PlatformListener
@@ -29,8 +25,9 @@
 	idleSince time.Duration
 	idleTimer *eventloop.Timer // runs until the first request, and after that while no query is open
 
-	line      memlimit.Share   // memory of an incomplete line
-	lineTimer *eventloop.Timer // timeout for the rest of that line; nil if there is none
+	line        memlimit.Share   // memory of an incomplete line
+	lineTimer   *eventloop.Timer // timeout for the rest of that line; nil if there is none
+	lineInputAt time.Duration    // when the client last sent a part of it
 }
 
 // Data parses received bytes and handles complete lines.
@@ -44,7 +41,7 @@
 		c.handle(e)
 	}
 	admitted := c.updateLineTimer(bytes.IndexByte(b, '\n') >= 0)
-	if err == nil && !admitted {
+	if err == nil && !admitted && !c.listener.makeRoomForLine(c) {
 		err = errIncompleteLines
 	}
 	if err != nil {
--- a/internal/transport/frontend/platform_timeouts.go
+++ b/internal/transport/frontend/platform_timeouts.go
@@ -30,35 +30,3 @@
 		c.close("no request")
 	}
 }
-
-// updateLineTimer starts or stops the timer for the rest of an incomplete line. Each line has its own timeout: lineEnded is true if the bytes
-// just received completed a line, so that the incomplete line, if any, is a new one. It reports whether the memory of the line is admitted.
-func (c *client) updateLineTimer(lineEnded bool) (admitted bool) {
-	incomplete := c.session.BufferedBytes()
-	admitted = c.line.Set(incomplete)
-	if lineEnded || incomplete == 0 {
-		c.lineTimer.Stop()
-		c.lineTimer = nil
-	}
-	if incomplete > 0 && c.lineTimer == nil {
-		c.startLineTimer()
-	}
-	return admitted
-}
-
-func (c *client) startLineTimer() {
-	c.lineTimer = c.listener.dispatcher.Loop.After(c.listener.requestTimeout, c.lineTimedOut)
-}
-
-// lineTimedOut closes a connection whose line was not completed in time. While queries are open, it restarts the timer instead.
-func (c *client) lineTimedOut() {
-	c.lineTimer = nil
-	c.conn.DeliverPending() // the pending bytes may complete the line
-	switch {
-	case !c.conn.IsOpen() || c.line.Used() == 0:
-	case len(c.requests) == 0:
-		c.close("incomplete line")
-	case c.lineTimer == nil:
-		c.startLineTimer()
-	}
-}
