eventloop: the write budget is taken from the peer that waits longest

Cause: the connection that queued the last bytes over the budget was closed, before its writer had a chance.

Change: connections with over 64 KB queued are closed in the order in which their peers last accepted bytes, until the rest is within the budget.

--- a/internal/transport/eventloop/conn.go
+++ b/internal/transport/eventloop/conn.go
@@ -49,6 +49,7 @@
 	onLingering   func() // if not nil, called on the loop after the half-close
 	lingerTimeout time.Duration
 	lingerTimer   *Timer
+	slowPeer      bool // is about to be closed, since the peer reads too slowly
 
 	writeSignal  chan struct{} // capacity 1; wakes the writer
 	resumeSignal chan struct{} // capacity 1; wakes a paused reader
@@ -59,8 +60,10 @@
 	eof         bool     // the peer has closed its side
 	writeQueue  [][]byte // buffers that the writer has not dequeued yet
 	queuedBytes int      // bytes in writeQueue or being written
-	paused      bool     // the reader waits for resumeSignal after its current read
-	onDrained   func()   // if not nil, called on the loop whenever all queued bytes have been written
+	// waitingSince is when the peer last accepted all bytes of a write, or when the first of the queued bytes was queued.
+	waitingSince time.Duration
+	paused       bool   // the reader waits for resumeSignal after its current read
+	onDrained    func() // if not nil, called on the loop whenever all queued bytes have been written
 }
 
 // NewConn takes ownership of nc and starts its reader and writer goroutines. The connection is closed if more than writeLimit bytes are
@@ -180,6 +183,7 @@
 func (c *Conn) close() {
 	c.lingerTimer.Stop()
 	c.advance(connClosed)
+	delete(c.loop.longQueues, c)
 	_ = c.nc.Close() // the connection is not used any more, so an error has no consequence
 	c.Resume()
 	c.mu.Lock()
--- a/internal/transport/eventloop/conn_test.go
+++ b/internal/transport/eventloop/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -44,6 +45,39 @@
 	}
 }
 
+// When all write queues together exceed the write budget, the connection whose peer has read nothing for the longest time is closed, and a peer
+// that reads gets all its bytes. The connection that queued the last bytes was closed, so that clients that read nothing could keep all
+// others from long responses.
+func TestWriteBudgetIsTakenFromLongestWaitingPeer(t *testing.T) {
+	const queued = testWriteBudget / 2
+	loop := startLoop(t)
+	conns, closed := map[string]*Conn{}, map[string]chan error{}
+	open := func(name string) (peer net.Conn) {
+		peer, nc := net.Pipe()
+		t.Cleanup(func() { peer.Close() })
+		closed[name] = make(chan error, 1)
+		loop.Do(func() { conns[name] = NewConn(loop, nc, closeRecorder{closed[name]}, 2*testWriteBudget) })
+		return peer
+	}
+	open("first silent")
+	open("second silent")
+	reading := open("reading")
+	loop.Do(func() {
+		conns["first silent"].Write(make([]byte, queued))
+		conns["second silent"].Write(make([]byte, queued))
+		conns["reading"].Write(make([]byte, queued))
+	})
+	if err := <-closed["first silent"]; !errors.Is(err, errSlowPeer) {
+		t.Errorf("the connection that waited longest was closed with error %v, want %v", err, errSlowPeer)
+	}
+	if n, err := io.ReadFull(reading, make([]byte, queued)); err != nil {
+		t.Errorf("the reading peer got %d bytes of %d and error %v", n, queued, err)
+	}
+	if len(closed["second silent"]) > 0 {
+		t.Error("another connection was closed although the rest was within the budget")
+	}
+}
+
 // dialSilentPeer returns a connection that the peer never accepts, so that nothing is read from it.
 func dialSilentPeer(t *testing.T) net.Conn {
 	t.Helper()
--- a/internal/transport/eventloop/loop.go
+++ b/internal/transport/eventloop/loop.go
@@ -17,12 +17,13 @@
 	urgent      chan func()   // functions that are called before those in queue
 	done        chan struct{} // closed when Run returns
 	start       time.Time
-	base        time.Duration // start as the time since the Unix epoch
-	queuedBytes atomic.Int64  // bytes to be written, over all connections
-	writeBudget int64         // bytes; if exceeded, a connection that queues more than guaranteedQueueBytes is closed
-	lag         time.Duration // largest recent delay of a timer, decaying over time
-	tickDue     time.Duration // when the next measurement of the lag is due; 0 = none was started
-	tickDelay   time.Duration // delay of the last measurement
+	base        time.Duration  // start as the time since the Unix epoch
+	queuedBytes atomic.Int64   // bytes to be written, over all connections
+	writeBudget int64          // bytes; if exceeded, connections that queue more than guaranteedQueueBytes are closed
+	longQueues  map[*Conn]bool // connections that are not closed and have queued more than guaranteedQueueBytes
+	lag         time.Duration  // largest recent delay of a timer, decaying over time
+	tickDue     time.Duration  // when the next measurement of the lag is due; 0 = none was started
+	tickDelay   time.Duration  // delay of the last measurement
 	activity    activityCounters
 }
 
@@ -36,6 +37,7 @@
 		start:       start,
 		base:        time.Duration(start.UnixNano()),
 		writeBudget: writeBudget,
+		longQueues:  map[*Conn]bool{},
 	}
 }
 
--- a/internal/transport/eventloop/write.go
+++ b/internal/transport/eventloop/write.go
@@ -5,27 +5,77 @@
 	"time"
 )
 
-// Write queues bytes, which must not be modified afterwards. The connection is closed if its queue exceeds its write limit, or if the
-// loop's write budget is exceeded and its queue is longer than guaranteedQueueBytes.
+// Write queues bytes, which must not be modified afterwards. The connection is closed if its queue exceeds its write limit. If the loop's
+// write budget is exceeded and the connection's queue is longer than guaranteedQueueBytes, connections are closed whose peers have accepted
+// nothing for the longest time.
 func (c *Conn) Write(b []byte) {
 	if !c.IsOpen() {
 		return
 	}
 	c.mu.Lock()
+	if c.queuedBytes == 0 {
+		c.waitingSince = c.loop.Now()
+	}
 	c.writeQueue = append(c.writeQueue, b)
 	c.queuedBytes += len(b)
 	total := c.loop.queuedBytes.Add(int64(len(b)))
-	overLimit := c.queuedBytes > c.writeLimit || total > c.loop.writeBudget && c.queuedBytes > guaranteedQueueBytes
+	queued := c.queuedBytes
 	c.mu.Unlock()
-	if overLimit {
-		c.loop.After(0, func() {
-			if c.IsOpen() {
-				c.connectionLost(errSlowPeer)
-			}
-		})
+	if queued > c.writeLimit {
+		c.loop.After(0, c.closeSlowPeer)
 		return
 	}
 	c.signalWriter()
+	if queued > guaranteedQueueBytes {
+		c.loop.longQueues[c] = true
+		if total > c.loop.writeBudget {
+			c.loop.enforceWriteBudget()
+		}
+	}
+}
+
+// closeSlowPeer closes the connection because its peer reads too slowly.
+func (c *Conn) closeSlowPeer() {
+	if c.IsOpen() {
+		c.connectionLost(errSlowPeer)
+		return
+	}
+	c.Close()
+}
+
+// enforceWriteBudget closes connections with long queues until the others are within the write budget, those first whose peers have accepted
+// nothing for the longest time: a peer that reads must not pay for what others leave unread. They are closed after the current call.
+func (l *Loop) enforceWriteBudget() {
+	excess := l.queuedBytes.Load() - l.writeBudget
+	for c := range l.longQueues {
+		if c.slowPeer {
+			excess -= int64(c.QueuedBytes())
+		}
+	}
+	for excess > 0 {
+		c, queued := l.longestWaitingQueue()
+		if c == nil {
+			return
+		}
+		c.slowPeer = true
+		excess -= int64(queued)
+		l.After(0, c.closeSlowPeer)
+	}
+}
+
+// longestWaitingQueue returns the connection with more than guaranteedQueueBytes queued whose peer has accepted nothing for the longest time,
+// except those that are about to be closed, and the size of its queue. It returns nil if there is none.
+func (l *Loop) longestWaitingQueue() (found *Conn, queuedBytes int) {
+	var foundSince time.Duration
+	for c := range l.longQueues {
+		c.mu.Lock()
+		queued, since := c.queuedBytes, c.waitingSince
+		c.mu.Unlock()
+		if !c.slowPeer && queued > guaranteedQueueBytes && (found == nil || since < foundSince) {
+			found, queuedBytes, foundSince = c, queued, since
+		}
+	}
+	return found, queuedBytes
 }
 
 // QueuedBytes returns the number of bytes that have not been written yet.
@@ -101,6 +151,7 @@
 	defer c.mu.Unlock()
 	if c.phase != connClosed { // otherwise close has already subtracted them
 		c.queuedBytes -= size
+		c.waitingSince = c.loop.Now()
 		c.loop.queuedBytes.Add(-int64(size))
 	}
 	return c.queuedBytes == 0, c.onDrained
