mysql: no connection is closed for memory while its query runs

Callers saw their connection closed without an answer to an execute that had begun, and error 1041 for long queries, while other clients held the memory.

Cause: the connection that needed the next bytes was closed, whoever held the memory. An execute binds the types of its parameters, which were counted after the query had begun.

Change: the types count from the prepare on. While a query runs, input over the limit is dropped and answered with error 1041 after the result. Long incomplete packets are given up in the order in which their clients last sent bytes, by the code that does so for the platform's listener (frontend/input_limit.go).

Evidence: TestExecuteNeedsNoFurtherMemory, TestQueryGetsItsResultWhenInputIsRefused and TestLongPacketReplacesWaitingIncompletePacket failed before.

--- a/internal/protocol/mysql/memory_test.go
+++ b/internal/protocol/mysql/memory_test.go
@@ -98,6 +98,59 @@
 	}
 }
 
+// runQuery starts a query on a connection.
+func runQuery(t *testing.T, c *ServerConn) {
+	t.Helper()
+	if events := c.Received(commandPacket(comQuery, []byte("SELECT 1"))); len(events) != 1 || events[0].Query == nil {
+		t.Fatalf("events %+v, want a query", events)
+	}
+}
+
+// The first execute of a statement starts, and its result is not lost, when others have taken all memory since the prepare. A connection was
+// closed without an answer to an execute, because the types that it binds were not admitted.
+func TestExecuteNeedsNoFurtherMemory(t *testing.T) {
+	memory := memlimit.New(testMemoryLimit, 0)
+	c, others := loggedInConn(t, memory), loggedInConn(t, memory)
+	c.Received(commandPacket(comStmtPrepare, []byte("SELECT ?, ?")))
+	for size := guaranteedBytes; size > 0; {
+		if prepare(others, size) != 0 {
+			size /= 2
+		}
+	}
+	events := c.Received(commandPacket(comStmtExecute, []byte{1, 0, 0, 0, 0, 1, 0, 0, 0, 3, 1, 0xfd, 0, 0xfd, 0}))
+	if len(events) != 1 || events[0].Query == nil {
+		t.Fatalf("events %+v, want a query", events)
+	}
+	if events := c.QueryEnded(); len(events) != 0 {
+		t.Errorf("events %+v after the query, want none", events)
+	}
+}
+
+// A query in flight gets its result although its client sends more than is admitted meanwhile. What it sent is answered with an error after
+// the result. The connection was closed at once, and the query got no answer.
+func TestQueryGetsItsResultWhenInputIsRefused(t *testing.T) {
+	for name, limit := range map[string]int{"over the limit of all": testMemoryLimit, "over the largest command": 4 * maxCommandSize} {
+		t.Run(name, func(t *testing.T) {
+			memory := memlimit.New(limit, guaranteedBytes)
+			c := loggedInConn(t, memory)
+			runQuery(t, c)
+			command := commandPacket(comQuery, make([]byte, maxCommandSize-1))
+			for range 2 {
+				if events := c.Received(command); len(events) != 0 {
+					t.Fatalf("events %+v while the query runs, want none", events)
+				}
+			}
+			if memory.Used() > limit {
+				t.Errorf("%d bytes are held, want at most %d", memory.Used(), limit)
+			}
+			events := c.QueryEnded()
+			if len(events) != 2 || errPacketCode(events[0].Write[headerSize:]) != erOutOfResources || !events[1].Close {
+				t.Errorf("events %+v after the query, want error %d and a close", events, erOutOfResources)
+			}
+		})
+	}
+}
+
 // Whatever clients send, the connections together hold at most the limit and their guaranteed memory, and nothing once they have
 // ended.
 func TestMemoryIsReleasedAfterRandomCommands(t *testing.T) {
--- a/internal/protocol/mysql/server_conn.go
+++ b/internal/protocol/mysql/server_conn.go
@@ -65,6 +65,8 @@
 	lastStatementID uint32
 	statements      map[uint32]*statement
 	memory          memlimit.Share // what the connection holds while no query runs
+	makeRoom        func() bool    // see OnMemoryExceeded; may be nil
+	inputRefused    bool           // the client sent too much while a query runs; the connection is closed after the query
 	events          []Event
 }
 
@@ -102,13 +104,13 @@
 
 // Received handles bytes from the client. Commands that arrive while a query is running are buffered until QueryEnded.
 func (c *ServerConn) Received(b []byte) []Event {
-	if c.state == stateClosed {
+	if c.state == stateClosed || c.inputRefused {
 		return nil
 	}
 	c.packets.append(b)
 	// Clients wait for each response, so a client that sends more than the largest command during a query is faulty or hostile.
 	if c.state == stateRunning && len(c.packets.buf) > maxCommandSize+headerSize {
-		c.closeConnection()
+		c.refuseInput()
 	}
 	return c.process()
 }
@@ -118,6 +120,9 @@
 	if c.state == stateRunning {
 		c.state = stateReady
 	}
+	if c.inputRefused && c.state == stateReady {
+		c.closeForMemory()
+	}
 	return c.process()
 }
 
@@ -136,6 +141,11 @@
 		c.handlePacket(p)
 	}
 	c.limitMemory()
+	return c.takeEvents()
+}
+
+// takeEvents returns the events since the last call.
+func (c *ServerConn) takeEvents() []Event {
 	events := c.events
 	c.events = nil
 	return events
--- a/internal/protocol/mysql/server_conn_commands.go
+++ b/internal/protocol/mysql/server_conn_commands.go
@@ -71,16 +71,17 @@
 		c.sendError(1, erNotSupportedYet, unsupportedStatementMessage)
 		return
 	}
-	if len(c.statements) >= maxClientStatements || !c.mayHold(len(text)) {
-		c.sendError(1, erMaxPreparedStatements, "too many prepared statements")
-		return
-	}
-	c.lastStatementID++
-	s := &statement{id: c.lastStatementID, text: text, params: countPlaceholders(text)}
+	s := &statement{text: text, params: countPlaceholders(text)}
 	if s.params > maxStatementParams {
 		c.sendError(1, erMalformedPacket, "too many parameters")
 		return
 	}
+	if len(c.statements) >= maxClientStatements || !c.mayHold(s.memoryUsed()) {
+		c.sendError(1, erMaxPreparedStatements, "too many prepared statements")
+		return
+	}
+	c.lastStatementID++
+	s.id = c.lastStatementID
 	c.statements[s.id] = s
 	c.write(prepareResponse(s))
 }
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -38,8 +38,9 @@
 	longDataOrder []uint16
 }
 
-// memoryUsed returns the memory that the statement holds between executions.
-func (s *statement) memoryUsed() int { return len(s.text) + len(s.paramTypes) + s.longDataSize }
+// memoryUsed returns the memory that the statement holds between executions. It includes the parameter types before they are bound, so
+// that an execute, which binds them, needs no more.
+func (s *statement) memoryUsed() int { return len(s.text) + paramTypeSize*s.params + s.longDataSize }
 
 // bytes returns the memory that the execution holds besides the statement.
 func (e *Execution) bytes() int {
--- a/internal/transport/frontend/listener_races_test.go
+++ b/internal/transport/frontend/listener_races_test.go
@@ -181,12 +181,16 @@
 	}
 }
 
+// mysqlTestMemory is the memory in bytes that all clients of a newMySQLFixture may hold.
+const mysqlTestMemory = 3 * guaranteedBytes
+
 // newMySQLFixture returns a MySQL listener without engines that is not listening yet.
 func newMySQLFixture(t *testing.T) *MySQLListener {
 	t.Helper()
 	loop, p := newPool(t, 1)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	return NewMySQLListener(dispatcher.New(loop, nil, p, log), p, log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 8})
+	return NewMySQLListener(dispatcher.New(loop, nil, p, log), p, log, MySQLConfig{Listen: "127.0.0.1:0", MaxConns: 8,
+		MaxMemory: mysqlTestMemory})
 }
 
 // listenMySQL opens a MySQL listener.
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -43,21 +43,24 @@
 	log          *slog.Logger
 	config       MySQLConfig
 	memory       *memlimit.Limit // of what clients hold while no query runs, and of the metadata of results
-	acceptor     *acceptor       // nil while not listening
-	lastThreadID uint32          // thread ID (MySQL connection ID) of the newest connection
+	input        inputLimiter[*mysqlClient]
+	acceptor     *acceptor // nil while not listening
+	lastThreadID uint32    // thread ID (MySQL connection ID) of the newest connection
 	retryTimer   *eventloop.Timer
 	loginTimeout time.Duration
 }
 
 // NewMySQLListener returns a listener that is not listening yet. pool is used only for this listener's connections to engines.
 func NewMySQLListener(d *dispatcher.Dispatcher, pool *enginepool.Pool, log *slog.Logger, config MySQLConfig) *MySQLListener {
+	conns, memory := newConnSet[*mysqlClient](config.MaxConns), memlimit.New(config.MaxMemory, guaranteedBytes)
 	return &MySQLListener{
-		connSet:      newConnSet[*mysqlClient](config.MaxConns),
+		connSet:      conns,
 		dispatcher:   d,
 		pool:         pool,
 		log:          log,
 		config:       config,
-		memory:       memlimit.New(config.MaxMemory, guaranteedBytes),
+		memory:       memory,
+		input:        inputLimiter[*mysqlClient]{memory: memory, open: conns.open},
 		loginTimeout: defaultLoginTimeout,
 	}
 }
@@ -112,6 +115,7 @@
 	c := &mysqlClient{listener: l, idleSince: l.dispatcher.Loop.Now()}
 	machine, greeting := mysql.NewServerConn(l.config.Accounts, l.lastThreadID, newScramble(), l.memory)
 	c.machine = machine
+	machine.OnMemoryExceeded(func() bool { return l.input.makeRoom(c) })
 	l.open[c] = true
 	c.conn = eventloop.NewConn(l.dispatcher.Loop, nc, c, mysqlWriteLimit)
 	c.conn.OnDrained(c.resumeIfDrained)
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -20,13 +20,15 @@
 	loginTimer *eventloop.Timer
 	paused     bool // reading the engine's response is paused, since the client reads too slowly
 	idleSince  time.Duration
+	inputAt    time.Duration // when the client last sent bytes
 }
 
 var _ dispatcher.Client = (*mysqlClient)(nil)
 
 // Data passes received bytes to the state machine.
 func (c *mysqlClient) Data(b []byte) {
-	c.idleSince = c.listener.dispatcher.Loop.Now()
+	c.inputAt = c.listener.dispatcher.Loop.Now()
+	c.idleSince = c.inputAt
 	c.execute(c.machine.Received(b))
 }
 
@@ -97,6 +99,21 @@
 	}
 }
 
+// isOpen implements inputClient.
+func (c *mysqlClient) isOpen() bool { return c.conn.IsOpen() }
+
+// incompleteBytes implements inputClient.
+func (c *mysqlClient) incompleteBytes() int { return c.machine.IncompleteBytes() }
+
+// lastInputAt implements inputClient.
+func (c *mysqlClient) lastInputAt() time.Duration { return c.inputAt }
+
+// deliverPending implements inputClient.
+func (c *mysqlClient) deliverPending() (none bool) { return c.conn.DeliverPending() }
+
+// giveUpInput implements inputClient.
+func (c *mysqlClient) giveUpInput() { c.execute(c.machine.GiveUpInput()) }
+
 // execute executes the events that the state machine returned.
 func (c *mysqlClient) execute(events []mysql.Event) {
 	for _, e := range events {
--- a/internal/transport/frontend/mysql_test.go
+++ b/internal/transport/frontend/mysql_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +32,33 @@
 	}
 }
 
+// An incomplete packet that exceeds the memory of all takes the place of the one whose client has sent nothing for the longest time, which
+// gets an error. Clients that hold incomplete packets could keep out all long queries of others.
+func TestLongPacketReplacesWaitingIncompletePacket(t *testing.T) {
+	l := newMySQLFixture(t)
+	listenMySQL(t, l)
+	conns := dialMySQL(t, l, 2)
+	used := func() (n int) {
+		l.dispatcher.Loop.Do(func() { n = l.memory.Used() })
+		return n
+	}
+	incomplete := "\xff\xff\x00\x01" + strings.Repeat("x", 2*guaranteedBytes)
+	nettest.Send(t, conns[0], incomplete)
+	nettest.Eventually(t, "the first packet to be read", func() bool { return used() == len(incomplete) })
+	nettest.Send(t, conns[1], incomplete)
+	response, err := io.ReadAll(conns[0])
+	if err != nil || !strings.HasSuffix(string(response), "all clients together hold too much memory") {
+		t.Errorf("the client that waited longest read %q and error %v, want the error packet and EOF", response, err)
+	}
+	nettest.Eventually(t, "the second packet to be read", func() bool { return used() == len(incomplete) })
+	l.dispatcher.Loop.Do(func() {
+		if len(l.open) != 1 {
+			t.Errorf("%d open connections, want 1", len(l.open))
+		}
+		l.StopAccepting()
+	})
+}
+
 // The connection of a client that does not log in is closed after the login timeout, which frees its descriptor.
 func TestMySQLLoginTimeoutClosesConnection(t *testing.T) {
 	l := newMySQLFixture(t)
--- a/internal/transport/frontend/platform.go
+++ b/internal/transport/frontend/platform.go
@@ -19,7 +19,6 @@
 const (
 	clientWriteLimit = 4 << 20          // bytes; enough for the responses to all queries that a connection may have open
 	idleTimeout      = 30 * time.Second // clients close their own idle connections after 4 s
-	guaranteedBytes  = 16 << 10         // memory that each client may use, even if the limit for all clients is exceeded
 	// defaultRequestTimeout is the timeout for the first request of a connection, and for the rest of an incomplete line. A connection
 	// without a request must be closed within 3 s.
 	defaultRequestTimeout = 2 * time.Second
@@ -36,19 +35,21 @@
 
 	maxConns       int             // including connections that are being closed
 	lineMemory     *memlimit.Limit // of incomplete lines
-	makingRoom     bool            // incomplete lines are being given up, see makeRoomForLine
-	requestTimeout time.Duration   // for the first request, and for the rest of an incomplete line
-	serving        bool            // as reported by ping
+	input          inputLimiter[*client]
+	requestTimeout time.Duration // for the first request, and for the rest of an incomplete line
+	serving        bool          // as reported by ping
 }
 
 // NewPlatformListener returns a listener of at most maxConns connections, which together may use maxIncompleteBytes for incomplete lines.
 func NewPlatformListener(d *dispatcher.Dispatcher, log *slog.Logger, maxConns, maxIncompleteBytes int) *PlatformListener {
+	conns, lineMemory := newConnSet[*client](maxConns), memlimit.New(maxIncompleteBytes, guaranteedBytes)
 	return &PlatformListener{
-		connSet:        newConnSet[*client](maxConns),
+		connSet:        conns,
 		dispatcher:     d,
 		log:            log,
 		maxConns:       maxConns,
-		lineMemory:     memlimit.New(maxIncompleteBytes, guaranteedBytes),
+		lineMemory:     lineMemory,
+		input:          inputLimiter[*client]{memory: lineMemory, open: conns.open},
 		requestTimeout: defaultRequestTimeout,
 		serving:        true,
 	}
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -25,9 +25,9 @@
 	idleSince time.Duration
 	idleTimer *eventloop.Timer // runs until the first request, and after that while no query is open
 
-	line        memlimit.Share   // memory of an incomplete line
-	lineTimer   *eventloop.Timer // timeout for the rest of that line; nil if there is none
-	lineInputAt time.Duration    // when the client last sent a part of it
+	line      memlimit.Share   // memory of an incomplete line
+	lineTimer *eventloop.Timer // timeout for the rest of that line; nil if there is none
+	inputAt   time.Duration    // when the client last sent bytes
 }
 
 // Data parses received bytes and handles complete lines.
@@ -41,7 +41,7 @@
 		c.handle(e)
 	}
 	admitted := c.updateLineTimer(bytes.IndexByte(b, '\n') >= 0)
-	if err == nil && !admitted && !c.listener.makeRoomForLine(c) {
+	if err == nil && !admitted && !c.listener.input.makeRoom(c) {
 		err = errIncompleteLines
 	}
 	if err != nil {
--- a/internal/transport/frontend/platform_lines.go
+++ b/internal/transport/frontend/platform_lines.go
@@ -1,9 +1,9 @@
 package frontend
 
-import "errors"
-
-// maxExcessBytes is how far the incomplete lines may exceed their memory limit while the clients are sought that send nothing.
-const maxExcessBytes = 1 << 20
+import (
+	"errors"
+	"time"
+)
 
 // errIncompleteLines is the reason for closing a connection with a long incomplete line while all incomplete lines exceed their memory limit.
 var errIncompleteLines = errors.New("incomplete lines of all clients exceed their memory limit")
@@ -13,7 +13,7 @@
 func (c *client) updateLineTimer(lineEnded bool) (admitted bool) {
 	incomplete := c.session.BufferedBytes()
 	admitted = c.line.Set(incomplete)
-	c.lineInputAt = c.listener.dispatcher.Loop.Now()
+	c.inputAt = c.listener.dispatcher.Loop.Now()
 	if lineEnded || incomplete == 0 {
 		c.lineTimer.Stop()
 		c.lineTimer = nil
@@ -41,51 +41,20 @@
 	}
 }
 
-// hasLongLine reports whether the client has an incomplete line of more than the guaranteed memory.
-func (c *client) hasLongLine() bool { return c.line.Used() > guaranteedBytes }
+// isOpen implements inputClient.
+func (c *client) isOpen() bool { return c.conn.IsOpen() }
 
-// makeRoomForLine gives up the long incomplete lines of other clients, those without input for the longest time first, until the line of c is
-// admitted. It reports whether it is. The bytes that a client has sent are read before its line is given up: a request that was sent
-// whole is answered. Without this, clients that hold incomplete lines could keep out all long requests of others.
-func (l *PlatformListener) makeRoomForLine(c *client) bool {
-	if l.makingRoom { // another call reads the bytes of c, and gives up lines until all are admitted
-		return true
-	}
-	l.makingRoom = true
-	defer func() { l.makingRoom = false }()
-	for active := 0; !c.line.Admits(0); {
-		other := l.longestWaitingLine(c)
-		if other == nil {
-			return false
-		}
-		sending := other.readWhatWasSent()
-		if sending && active < len(l.open) && l.lineMemory.Excess() <= maxExcessBytes { // the next client may be waiting for longer
-			active++
-			continue
-		}
-		if other.hasLongLine() && other.conn.IsOpen() {
-			other.stopReading(errIncompleteLines)
-			other.restartIdleTimer()
-		}
-	}
-	return true
-}
+// incompleteBytes implements inputClient.
+func (c *client) incompleteBytes() int { return c.line.Used() }
 
-// longestWaitingLine returns the client with a long incomplete line that has had no input for the longest time, except c. It returns nil
-// if there is none.
-func (l *PlatformListener) longestWaitingLine(c *client) (found *client) {
-	for other := range l.open {
-		if other != c && other.hasLongLine() && (found == nil || other.lineInputAt < found.lineInputAt) {
-			found = other
-		}
-	}
-	return found
-}
+// lastInputAt implements inputClient.
+func (c *client) lastInputAt() time.Duration { return c.inputAt }
 
-// readWhatWasSent handles all bytes that the client has sent, up to the end of an incomplete line. It reports whether there were any.
-func (c *client) readWhatWasSent() (received bool) {
-	for c.hasLongLine() && c.conn.IsOpen() && !c.conn.DeliverPending() {
-		received = true
-	}
-	return received
+// deliverPending implements inputClient.
+func (c *client) deliverPending() (none bool) { return c.conn.DeliverPending() }
+
+// giveUpInput implements inputClient.
+func (c *client) giveUpInput() {
+	c.stopReading(errIncompleteLines)
+	c.restartIdleTimer()
 }
