mysql: one client's session state does not reach the next client

Cause: what a query leaves in the session of a pooled connection reaches the next query. USE was recognized by a pattern that knows no comments, and went to an engine in any other form.

Change: statements are classified by their tokens. No USE or SET reaches an engine. Queries that are not known to leave no state get a new connection, which is closed after them. A query without a schema gets a connection without one. The key of an earlier query is removed. A prepared statement keeps its schema.

--- a/internal/protocol/mysql/errcode.go
+++ b/internal/protocol/mysql/errcode.go
@@ -7,6 +7,8 @@
 	erAccessDenied           = 1045 // ER_ACCESS_DENIED_ERROR
 	erUnknownCommand         = 1047 // ER_UNKNOWN_COM_ERROR
 	erServerShutdown         = 1053 // ER_SERVER_SHUTDOWN
+	erTooLongIdentifier      = 1059 // ER_TOO_LONG_IDENT
+	erParseError             = 1064 // ER_PARSE_ERROR
 	erNoSuchThread           = 1094 // ER_NO_SUCH_THREAD: the response to KILL for a connection that has ended
 	erUnknownError           = 1105 // ER_UNKNOWN_ERROR
 	erNetPacketTooLarge      = 1153 // ER_NET_PACKET_TOO_LARGE
@@ -30,4 +32,6 @@
 	erNetPacketTooLarge:     "08S01",
 	erNotSupportedYet:       "42000",
 	erMaxPreparedStatements: "42000",
+	erTooLongIdentifier:     "42000",
+	erParseError:            "42000",
 }
--- a/internal/protocol/mysql/exchange.go
+++ b/internal/protocol/mysql/exchange.go
@@ -56,7 +56,7 @@
 // metadata of results, which is held back until the first row.
 func NewExchange(query *Query, user, password string, memory *memlimit.Limit) (*Exchange, []attempt.Step) {
 	x := &Exchange{query: query, credentials: credentials{user, password}, metadata: memory.NewShare()}
-	x.emit(attempt.Open{Channel: attempt.Primary})
+	x.emit(attempt.Open{Channel: attempt.Primary, Fresh: query.OwnSession})
 	return x, x.flush()
 }
 
@@ -299,10 +299,11 @@
 }
 
 // primaryReusable reports whether another attempt may use the primary connection. After KILL QUERY none may use it,
-// because the engine could apply a late KILL to the next query. The connection cannot be reused while setup commands are in flight, either.
+// because the engine could apply a late KILL to the next query. The connection cannot be reused while setup commands are in flight, or if the
+// query may have changed the state of the session, either.
 func (x *Exchange) primaryReusable() bool {
 	quiescent := x.phase == phaseLogin || x.phase == phaseQuerySent
-	if !quiescent || !x.connected[attempt.Primary] {
+	if !quiescent || !x.connected[attempt.Primary] || x.query.OwnSession {
 		return false
 	}
 	s := x.sessions[attempt.Primary]
--- a/internal/protocol/mysql/exchange_setup.go
+++ b/internal/protocol/mysql/exchange_setup.go
@@ -12,6 +12,7 @@
 type setupCommand struct {
 	packet   []byte
 	response expectedResponse
+	apply    func(*session) // records the effect in the session; may be nil
 }
 
 type expectedResponse uint8
@@ -57,6 +58,11 @@
 		x.sendKill()
 		return
 	}
+	if x.hasForeignSchema(x.sessions[attempt.Primary]) {
+		x.closeChannel(attempt.Primary)
+		x.reconnect()
+		return
+	}
 	x.queueSetup(x.sessions[attempt.Primary])
 	if _, ok := x.permission(false); !ok {
 		x.finish(policy.NotSent, nil)
@@ -67,13 +73,17 @@
 }
 
 // queueSetup queues the commands that must precede the query: selecting the schema and preparing the statement, unless done in
-// this session before, and setting the idempotency key.
+// this session before, and setting the idempotency key, or removing that of an earlier query.
 func (x *Exchange) queueSetup(s *session) {
-	if x.query.Schema != "" && x.query.Schema != s.schema {
-		x.queue(expectOK, commandPacket(comInitDB, []byte(x.query.Schema)))
+	if x.query.Schema != s.schema {
+		x.queue(expectOK, commandPacket(comInitDB, []byte(x.query.Schema)), func(s *session) { s.schema = x.query.Schema })
 	}
-	if x.query.IdempotencyKey != "" {
-		x.queue(expectOK, commandPacket(comQuery, []byte("SET @replay_key="+x.query.IdempotencyKey)))
+	switch {
+	case x.query.IdempotencyKey != "":
+		s.replayKeySet = true
+		x.queue(expectOK, commandPacket(comQuery, []byte("SET @replay_key="+x.query.IdempotencyKey)), nil)
+	case s.replayKeySet:
+		x.queue(expectOK, commandPacket(comQuery, []byte("SET @replay_key=NULL")), func(s *session) { s.replayKeySet = false })
 	}
 	execution := x.query.Execution
 	if execution == nil {
@@ -83,14 +93,17 @@
 	id, prepared := s.statementIDs[x.statementKey]
 	x.statementID = id
 	if !prepared {
-		x.queue(expectPrepareOK, commandPacket(comStmtPrepare, []byte(execution.Text)))
+		x.queue(expectPrepareOK, commandPacket(comStmtPrepare, []byte(execution.Text)), nil)
 	}
 }
 
-func (x *Exchange) queue(response expectedResponse, packet []byte) {
-	x.setupQueue = append(x.setupQueue, setupCommand{packet: packet, response: response})
+func (x *Exchange) queue(response expectedResponse, packet []byte, apply func(*session)) {
+	x.setupQueue = append(x.setupQueue, setupCommand{packet: packet, response: response, apply: apply})
 }
 
+// hasForeignSchema reports whether a session has a schema although the query has none. A session cannot return to having no schema.
+func (x *Exchange) hasForeignSchema(s *session) bool { return x.query.Schema == "" && s.schema != "" }
+
 // sendNext sends the next setup command or, after the last one, the query.
 func (x *Exchange) sendNext() {
 	if len(x.setupQueue) > 0 {
@@ -129,8 +142,8 @@
 	case command.response == expectPrepareOK:
 		x.handlePrepareOK(p.payload)
 	default:
-		if command.packet[headerSize] == comInitDB {
-			x.sessions[attempt.Primary].schema = x.query.Schema
+		if command.apply != nil {
+			command.apply(x.sessions[attempt.Primary])
 		}
 		x.sendNext()
 	}
--- a/internal/protocol/mysql/lexer.go
+++ b/internal/protocol/mysql/lexer.go
@@ -20,6 +20,32 @@
 	text string
 }
 
+// maxKeywordBytes is more than any keyword has that the gateway looks for.
+const maxKeywordBytes = 32
+
+// keyword returns an unquoted word in upper case, or an empty string for any other token.
+func (t token) keyword() string {
+	if t.kind != tokenWord || len(t.text) > maxKeywordBytes {
+		return ""
+	}
+	return strings.ToUpper(t.text)
+}
+
+// isOneOf reports whether the token is one of a set of words in upper case.
+func (t token) isOneOf(words map[string]bool) bool {
+	if t.kind != tokenWord || len(t.text) > maxKeywordBytes {
+		return false
+	}
+	var upper [maxKeywordBytes]byte
+	n := copy(upper[:], t.text)
+	for i, b := range upper[:n] {
+		if b >= 'a' && b <= 'z' {
+			upper[i] = b - 'a' + 'A'
+		}
+	}
+	return words[string(upper[:n])]
+}
+
 const whitespace = " \t\n\v\f\r"
 
 // Version numbers of executable comments (MySQL Reference Manual, "Comments").
@@ -32,8 +58,9 @@
 // lexer splits a statement into tokens (MySQL Reference Manual, "Language Structure"). Comments are skipped, but the contents of
 // executable comments ("/*! */") are tokens, as for the engines. It takes time in proportion to the length of the statement.
 type lexer struct {
-	rest                string
-	inExecutableComment bool
+	rest                   string
+	inExecutableComment    bool
+	foundExecutableComment bool // an executable comment was found, which only some engines may execute
 }
 
 // next returns the next token.
@@ -57,6 +84,15 @@
 	return t
 }
 
+// atEnd reports whether nothing follows but a semicolon.
+func (l *lexer) atEnd() bool {
+	t := l.next()
+	if t.text == ";" {
+		t = l.next()
+	}
+	return t.kind == tokenEnd
+}
+
 // skipSpaceAndComments skips white space, comments, and the marks at the start and the end of an executable comment.
 func (l *lexer) skipSpaceAndComments() {
 	for {
@@ -67,6 +103,7 @@
 		case l.inExecutableComment && strings.HasPrefix(l.rest, "*/"):
 			l.rest, l.inExecutableComment = l.rest[len("*/"):], false
 		case strings.HasPrefix(l.rest, "/*!"), strings.HasPrefix(l.rest, "/*M!"):
+			l.foundExecutableComment = true
 			l.enterExecutableComment()
 		case strings.HasPrefix(l.rest, "/*"):
 			_, l.rest, _ = strings.Cut(l.rest[len("/*"):], "*/")
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -122,27 +122,6 @@
 	}
 }
 
-// A statement that sets only @replay_key to a string literal is recognized, and its literal is the idempotency key.
-func TestSetReplayKeyIsRecognized(t *testing.T) {
-	for text, want := range map[string]string{
-		"SET @replay_key='a\\'b'":        `'a\'b'`,
-		" set @replay_key := 'x' ; ":     "'x'",
-		"SET @replay_key='a', @b=1":      "",
-		"SET @replay_key=x":              "",
-		"SELECT 'SET @replay_key=''x'''": "",
-	} {
-		t.Run(text, func(t *testing.T) {
-			got := ""
-			if match := setReplayKey.FindStringSubmatch(text); match != nil {
-				got = match[1]
-			}
-			if got != want {
-				t.Errorf("%q: key %q, want %q", text, got, want)
-			}
-		})
-	}
-}
-
 func TestParsePasswordHash(t *testing.T) {
 	const digits = "2470C0C06DEE42FD1618BB99005ADCA2EC9D1E19" // hash of "password"
 	for name, text := range map[string]string{"with star": "*" + digits, "without star": digits} {
--- a/internal/protocol/mysql/protocol.go
+++ b/internal/protocol/mysql/protocol.go
@@ -34,6 +34,12 @@
 	maxResultMetadata = 1 << 20  // column definitions of a result
 )
 
+// Size limits of what a client names, in bytes.
+const (
+	maxSchemaBytes    = 64 * 4 // 64 characters in UTF-8 (MySQL Reference Manual, "Identifier Length Limits")
+	maxReplayKeyBytes = 1 << 10
+)
+
 // maxClientStatements is the maximum number of prepared statements of a client connection.
 const maxClientStatements = 256
 
--- a/internal/protocol/mysql/server_conn.go
+++ b/internal/protocol/mysql/server_conn.go
@@ -19,10 +19,11 @@
 // Query is a query that a client sent.
 type Query struct {
 	Account        *Account
-	Schema         string     // the client's current schema; may be empty
+	Schema         string     // schema in which names are resolved; may be empty
 	Text           string     // statement text, prepared or not
 	IdempotencyKey string     // quoted SQL literal as sent by the client; may be empty
 	Execution      *Execution // nil for COM_QUERY
+	OwnSession     bool       // must run in a session that no other query uses, since it may read or change its state
 }
 
 // Bytes returns the memory that the query holds. The text of a prepared statement is included, since an attempt may use it longer than
@@ -63,7 +64,7 @@
 	schema          string
 	idempotencyKey  string // idempotency key for the next query; empty for none
 	lastStatementID uint32
-	statements      map[uint32]*statement
+	statements      map[uint32]*preparedStatement
 	memory          memlimit.Share // what the connection holds while no query runs
 	makeRoom        func() bool    // see OnMemoryExceeded; may be nil
 	inputRefused    bool           // the client sent too much while a query runs; the connection is closed after the query
@@ -78,7 +79,7 @@
 		accounts:   accounts,
 		scramble:   scramble,
 		packets:    framer{maxPayload: maxCommandSize},
-		statements: map[uint32]*statement{},
+		statements: map[uint32]*preparedStatement{},
 		memory:     memory.NewShare(),
 	}
 	return c, handshakePacket(connectionID, scramble)
@@ -174,7 +175,7 @@
 // startQuery passes a query to the driver. It rejects a query without an idempotency key if the account requires one. A key is
 // used for one query only.
 func (c *ServerConn) startQuery(query *Query) {
-	query.Account, query.Schema = c.account, c.schema
+	query.Account = c.account
 	if c.account.NeedsIdempotencyKey {
 		if c.idempotencyKey == "" {
 			c.sendError(1, erUnknownError, "nothing ran: this account's loads need SET @replay_key='...' before each")
--- a/internal/protocol/mysql/server_conn_commands.go
+++ b/internal/protocol/mysql/server_conn_commands.go
@@ -5,6 +5,7 @@
 const (
 	unsupportedStatementMessage = "the gateway keeps no transactions and no session settings"
 	unknownStatementMessage     = "unknown prepared statement"
+	schemaTooLongMessage        = "the name of the schema is too long"
 )
 
 func (c *ServerConn) handleCommand(p packet) {
@@ -37,41 +38,54 @@
 	}
 }
 
+// useSchema changes the client's schema. Whether it exists is known when the next query runs.
 func (c *ServerConn) useSchema(schema string) {
+	if len(schema) > maxSchemaBytes {
+		c.sendError(1, erTooLongIdentifier, schemaTooLongMessage)
+		return
+	}
 	c.schema = schema
 	c.write(okPacket(1))
 }
 
 // handleQuery handles COM_QUERY. Statements about the session are handled here; all others run on an engine.
 func (c *ServerConn) handleQuery(text string) {
-	statement := stripLeadingComments(text)
-	if match := setReplayKey.FindStringSubmatch(statement); match != nil {
-		c.idempotencyKey = match[1]
-		c.write(okPacket(1))
-		return
-	}
-	if match := useStatement.FindStringSubmatch(statement); match != nil {
-		c.useSchema(match[1])
-		return
-	}
-	switch {
-	case ignoredSet.MatchString(statement):
+	statement := classify(text)
+	switch statement.kind {
+	case useStatement:
+		c.useSchema(statement.argument)
+	case setReplayKeyStatement:
+		c.setReplayKey(statement.argument)
+	case ignoredStatement:
 		c.write(okPacket(1))
-	case unsupportedStatement.MatchString(statement):
+	case unsupportedStatement:
 		c.sendError(1, erNotSupportedYet, unsupportedStatementMessage)
+	case malformedStatement:
+		c.sendError(1, erParseError, "the gateway cannot read this USE statement")
 	default:
-		c.startQuery(&Query{Text: text})
+		c.startQuery(&Query{Text: text, Schema: c.schema, OwnSession: statement.ownSession})
+	}
+}
+
+// setReplayKey sets the idempotency key of the next query to a quoted literal.
+func (c *ServerConn) setReplayKey(literal string) {
+	if len(literal) > maxReplayKeyBytes {
+		c.sendError(1, erUnknownError, "@replay_key is too long")
+		return
 	}
+	c.idempotencyKey = literal
+	c.write(okPacket(1))
 }
 
 // handlePrepare handles COM_STMT_PREPARE. The statement is only stored; an engine prepares it before it first executes
 // it.
 func (c *ServerConn) handlePrepare(text string) {
-	if unsupportedStatement.MatchString(stripLeadingComments(text)) {
+	statement := classify(text)
+	if statement.kind != queryStatement {
 		c.sendError(1, erNotSupportedYet, unsupportedStatementMessage)
 		return
 	}
-	s := &statement{text: text, params: countPlaceholders(text)}
+	s := &preparedStatement{text: text, schema: c.schema, ownSession: statement.ownSession, params: countPlaceholders(text)}
 	if s.params > maxStatementParams {
 		c.sendError(1, erMalformedPacket, "too many parameters")
 		return
@@ -88,7 +102,7 @@
 
 // prepareResponse returns the response to COM_STMT_PREPARE. It has no column definitions, because no engine has prepared the
 // statement yet; each result has them.
-func prepareResponse(s *statement) []byte {
+func prepareResponse(s *preparedStatement) []byte {
 	b := binary.LittleEndian.AppendUint32([]byte{okHeader}, s.id)
 	b = binary.LittleEndian.AppendUint16(b, 0) // number of columns
 	b = binary.LittleEndian.AppendUint16(b, uint16(s.params))
@@ -126,7 +140,7 @@
 		c.sendError(1, erOutOfResources, "nothing ran: the long data of the statement is more than the gateway holds")
 		return
 	}
-	c.startQuery(&Query{Text: s.text, Execution: execution})
+	c.startQuery(&Query{Text: s.text, Schema: s.schema, OwnSession: s.ownSession, Execution: execution})
 }
 
 // handleLongData handles COM_STMT_SEND_LONG_DATA. The command has no response; the next execute reports data that was lost.
--- a/internal/protocol/mysql/server_conn_login.go
+++ b/internal/protocol/mysql/server_conn_login.go
@@ -65,6 +65,11 @@
 		c.closeConnection()
 		return
 	}
+	if len(response.schema) > maxSchemaBytes {
+		c.sendError(p.sequenceID+1, erTooLongIdentifier, schemaTooLongMessage)
+		c.closeConnection()
+		return
+	}
 	c.user, c.schema = response.user, response.schema
 	if response.plugin != nativePassword {
 		c.state = stateAuthSwitch
--- a/internal/protocol/mysql/session.go
+++ b/internal/protocol/mysql/session.go
@@ -17,6 +17,7 @@
 	responseSent  bool // the handshake response was sent
 	connectionID  uint32
 	schema        string
+	replayKeySet  bool                    // an idempotency key of a query may be set
 	statementIDs  map[statementKey]uint32 // the engine's statement ids
 }
 
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -14,11 +14,13 @@
 	bitsPerByte        = 8
 )
 
-// statement is a prepared statement of a client. Its id is assigned by the gateway, is valid on the client's connection, and
+// preparedStatement is a prepared statement of a client. Its id is assigned by the gateway, is valid on the client's connection, and
 // is independent of the ids that engines assign.
-type statement struct {
+type preparedStatement struct {
 	id            uint32
 	text          string
+	schema        string // the client's schema when it was prepared, in which its names are resolved
+	ownSession    bool   // see classification
 	params        int
 	paramTypes    []byte            // last bound types; later executes may omit them
 	longData      map[uint16][]byte // by parameter, received since the last execute
@@ -40,7 +42,9 @@
 
 // memoryUsed returns the memory that the statement holds between executions. It includes the parameter types before they are bound, so
 // that an execute, which binds them, needs no more.
-func (s *statement) memoryUsed() int { return len(s.text) + paramTypeSize*s.params + s.longDataSize }
+func (s *preparedStatement) memoryUsed() int {
+	return len(s.text) + len(s.schema) + paramTypeSize*s.params + s.longDataSize
+}
 
 // bytes returns the memory that the execution holds besides the statement.
 func (e *Execution) bytes() int {
@@ -52,7 +56,7 @@
 }
 
 // parseExecute parses the payload of COM_STMT_EXECUTE after the statement id. ok is false if it is malformed.
-func (s *statement) parseExecute(r *payloadReader) (execution *Execution, ok bool) {
+func (s *preparedStatement) parseExecute(r *payloadReader) (execution *Execution, ok bool) {
 	r.byte()   // flags: ignored, since a cursor would bind the client to one engine; all rows are sent at once
 	r.uint32() // iteration count, always 1
 	e := &Execution{Text: s.text, Params: s.params, longData: s.longData, longDataOrder: s.longDataOrder}
@@ -71,7 +75,7 @@
 func nullBitmapSize(params int) int { return (params + bitsPerByte - 1) / bitsPerByte }
 
 // bindTypes reads the new-params-bound flag and, if it is set, the parameter types.
-func (s *statement) bindTypes(r *payloadReader) {
+func (s *preparedStatement) bindTypes(r *payloadReader) {
 	if r.byte() != newParamsBoundFlag {
 		return
 	}
@@ -82,7 +86,7 @@
 
 // appendLongData appends to the long data of a parameter. Data of an invalid parameter is dropped. Data over the size limit, or over
 // what mayHold admits, is lost: the command has no response, so that the next execute reports it.
-func (s *statement) appendLongData(param uint16, data []byte, mayHold func(bytes int) bool) {
+func (s *preparedStatement) appendLongData(param uint16, data []byte, mayHold func(bytes int) bool) {
 	if int(param) >= s.params {
 		return
 	}
@@ -100,7 +104,7 @@
 	s.longDataSize += len(data)
 }
 
-func (s *statement) clearLongData() {
+func (s *preparedStatement) clearLongData() {
 	s.longData, s.longDataOrder, s.longDataSize, s.longDataLost = nil, nil, 0, false
 }
 
