eventloop: the loop is shared fairly among client connections

Cause: received bytes were handled in the order in which they came, so that each step of a query waited for a read of each busy client, of up to 10 ms each. Line timeouts read what their client had sent ahead of all other work, and gave up a line of which the socket held more than 64 KB.

Change: reads of clients are handled after the loop's other work, at the latest after 16 functions, and in the order of the time that their connections have used the loop lately. The wait counts in ReadDelay. Timeouts read to the end of a request, in the same order.

--- a/internal/transport/eventloop/conn.go
+++ b/internal/transport/eventloop/conn.go
@@ -62,8 +62,10 @@
 	queuedBytes int      // bytes in writeQueue or being written
 	// waitingSince is when the peer last accepted all bytes of a write, or when the first of the queued bytes was queued.
 	waitingSince time.Duration
-	paused       bool   // the reader waits for resumeSignal after its current read
-	onDrained    func() // if not nil, called on the loop whenever all queued bytes have been written
+	paused       bool         // the reader waits for resumeSignal after its current read
+	onDrained    func()       // if not nil, called on the loop whenever all queued bytes have been written
+	sharesLoop   bool         // see ShareLoop
+	usage        decayingTime // time for which the loop has handled received bytes
 }
 
 // NewConn takes ownership of nc and starts its reader and writer goroutines. The connection is closed if more than writeLimit bytes are
@@ -77,6 +79,7 @@
 		lingerTimeout: defaultLingerTimeout,
 		writeSignal:   make(chan struct{}, 1),
 		resumeSignal:  make(chan struct{}, 1),
+		usage:         decayingTime{sum: initialUsage.Seconds(), updatedAt: loop.Now()},
 	}
 	if s, ok := nc.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
--- a/internal/transport/eventloop/loop.go
+++ b/internal/transport/eventloop/loop.go
@@ -15,6 +15,9 @@
 type Loop struct {
 	queue       chan func()
 	urgent      chan func()   // functions that are called before those in queue
+	reads       *fairQueue    // reads of connections that share the loop, see Conn.ShareLoop
+	sinceRead   int           // functions of queue that were called since the last one of reads
+	readDelay   time.Duration // how long the read that is being handled has waited in reads
 	done        chan struct{} // closed when Run returns
 	start       time.Time
 	base        time.Duration  // start as the time since the Unix epoch
@@ -33,6 +36,7 @@
 	return &Loop{
 		queue:       make(chan func(), queueLength),
 		urgent:      make(chan func(), queueLength),
+		reads:       newFairQueue(),
 		done:        make(chan struct{}),
 		start:       start,
 		base:        time.Duration(start.UnixNano()),
@@ -60,12 +64,13 @@
 }
 
 // ReadDelay returns an estimate of how long the bytes that are handled now may have waited to be read: the delay of the last measurement
-// of the lag, or that of the next one if it is overdue, as it is right after the process was suspended. It is 0 before StartLagMonitor is called.
+// of the lag, or that of the next one if it is overdue, as it is right after the process was suspended; or how long the read has been queued. It is
+// 0 before StartLagMonitor is called.
 func (l *Loop) ReadDelay() time.Duration {
 	if l.tickDue == 0 {
 		return 0
 	}
-	return max(l.tickDelay, l.Now()-l.tickDue)
+	return max(l.tickDelay, l.Now()-l.tickDue, l.readDelay)
 }
 
 // Lag returns the largest recent delay of the loop's timers. It is 0 before StartLagMonitor is called.
@@ -86,21 +91,35 @@
 
 // next waits for the next function to call. It returns nil if done is closed and nothing urgent is queued.
 func (l *Loop) next(done <-chan struct{}) func() {
-	if f := l.nextQueued(); f != nil {
-		return f
+	for {
+		if f := l.nextQueued(); f != nil {
+			return f
+		}
+		if f, stopped := l.wait(done); f != nil || stopped {
+			return f
+		}
 	}
+}
+
+// wait waits until a function is queued. It returns the function, or nil if it is a read or if done is closed.
+func (l *Loop) wait(done <-chan struct{}) (f func(), stopped bool) {
 	l.activity.waits.Add(1)
 	defer l.activity.waits.Add(1)
 	select {
 	case f := <-l.urgent:
-		return f
+		return f, false
 	case f := <-l.queue:
-		return f
+		return f, false
+	case <-l.reads.ready:
+		return nil, false
 	case <-done:
-		return nil
+		return nil, true
 	}
 }
 
+// maxFunctionsBetweenReads is how many queued functions are called at most before a read of a connection that shares the loop.
+const maxFunctionsBetweenReads = 16
+
 // nextQueued returns the next function to call, or nil if none is queued.
 func (l *Loop) nextQueued() func() {
 	select {
@@ -109,14 +128,26 @@
 		return f
 	default:
 	}
+	if l.sinceRead >= maxFunctionsBetweenReads {
+		if f := l.nextRead(); f != nil {
+			return f
+		}
+	}
 	select {
 	case f := <-l.queue:
+		l.sinceRead++
 		return f
 	default:
-		return nil
+		return l.nextRead()
 	}
 }
 
+// nextRead returns the next read of a connection that shares the loop, or nil if there is none.
+func (l *Loop) nextRead() func() {
+	l.sinceRead = 0
+	return l.reads.pop()
+}
+
 // Post queues a function for the loop. It blocks while the queue is full, so it must not be called on the loop itself. After Run has
 // returned, the function is dropped.
 func (l *Loop) Post(f func()) { l.postTo(l.queue, f) }
@@ -137,12 +168,12 @@
 
 func (l *Loop) doOn(queue chan<- func(), f func()) {
 	done := make(chan struct{}, 1)
-	l.postAndWait(queue, func() { f(); done <- struct{}{} }, done)
+	l.postTo(queue, func() { f(); done <- struct{}{} })
+	l.waitFor(done)
 }
 
-// postAndWait queues a function that sends on done when it is finished, and waits for that. It returns false if Run has returned.
-func (l *Loop) postAndWait(queue chan<- func(), f func(), done <-chan struct{}) bool {
-	l.postTo(queue, f)
+// waitFor waits for a queued function that sends on done when it is finished. It returns false if Run has returned.
+func (l *Loop) waitFor(done <-chan struct{}) bool {
 	select {
 	case <-done:
 		return true
@@ -152,16 +183,19 @@
 }
 
 // After calls f on the loop once d has elapsed, and after the functions that are queued by then. It may be called on any goroutine.
-func (l *Loop) After(d time.Duration, f func()) *Timer { return l.after(l.queue, d, f) }
+func (l *Loop) After(d time.Duration, f func()) *Timer { return after(d, f, l.Post) }
 
 // AfterWithPriority calls f on the loop once d has elapsed, before all queued functions. It is meant for deadlines, which must be kept even
 // if the loop is behind. Received bytes that are queued for the loop have not been handled when f is called. It may be called on any goroutine.
-func (l *Loop) AfterWithPriority(d time.Duration, f func()) *Timer { return l.after(l.urgent, d, f) }
+func (l *Loop) AfterWithPriority(d time.Duration, f func()) *Timer {
+	return after(d, f, func(call func()) { l.postTo(l.urgent, call) })
+}
 
-func (l *Loop) after(queue chan<- func(), d time.Duration, f func()) *Timer {
+// after passes a call of f to post once d has elapsed.
+func after(d time.Duration, f func(), post func(func())) *Timer {
 	t := &Timer{}
 	t.timer = time.AfterFunc(d, func() {
-		l.postTo(queue, func() {
+		post(func() {
 			if !t.stopped {
 				t.stopped = true
 				f()
@@ -186,7 +220,7 @@
 }
 
 // Queued returns how many functions are queued. It may be called on any goroutine.
-func (l *Loop) Queued() int { return len(l.urgent) + len(l.queue) }
+func (l *Loop) Queued() int { return len(l.urgent) + len(l.queue) + l.reads.length() }
 
 // RunNext calls the function that is next, and waits for one if none is queued. Tests that block the loop use it to force an order of
 // events.
--- a/internal/transport/eventloop/read.go
+++ b/internal/transport/eventloop/read.go
@@ -4,9 +4,10 @@
 	"errors"
 	"io"
 	"syscall"
+	"time"
 )
 
-const peekBufferSize = 512 // bytes
+const peekBufferSize = 512 // bytes; further ones have readBufferSize
 
 // readLoop is the reader goroutine. After each read it waits until the loop has handled the bytes before it reads again.
 func (c *Conn) readLoop() {
@@ -18,8 +19,11 @@
 	}
 	for {
 		buffered, err := c.receive(buf)
-		if buffered && !c.loop.postAndWait(c.loop.queue, deliver, handled) {
-			return
+		if buffered {
+			c.postRead(deliver)
+			if !c.loop.waitFor(handled) {
+				return
+			}
 		}
 		if err != nil {
 			c.loop.Post(func() { c.connectionLost(err) })
@@ -37,6 +41,48 @@
 	}
 }
 
+// postRead queues the delivery of received bytes.
+func (c *Conn) postRead(deliver func()) {
+	postedAt := c.loop.Now()
+	c.post(func() {
+		c.loop.readDelay = c.loop.Now() - postedAt
+		deliver()
+		c.loop.readDelay = 0
+	})
+}
+
+// post queues a function for the loop, in the order of ShareLoop if it was called.
+func (c *Conn) post(f func()) {
+	c.mu.Lock()
+	sharesLoop, usage := c.sharesLoop, c.usage.valueAt(c.loop.Now())
+	c.mu.Unlock()
+	if sharesLoop {
+		c.loop.reads.push(usage, f)
+		return
+	}
+	c.loop.Post(f)
+}
+
+// ShareLoop makes the loop handle received bytes after its other work, and before those of connections that have used it for longer lately.
+// It is meant for the connections of clients, of which some may send at full speed.
+func (c *Conn) ShareLoop() {
+	c.mu.Lock()
+	c.sharesLoop = true
+	c.mu.Unlock()
+}
+
+// After calls f on the loop once d has elapsed, in the order of ShareLoop. It is meant for functions that read what the peer has sent.
+func (c *Conn) After(d time.Duration, f func()) *Timer {
+	return after(d, func() { c.callForPeer(f) }, c.post)
+}
+
+// callForPeer calls a function and records that it has used the loop for the connection.
+func (c *Conn) callForPeer(f func()) {
+	startedAt := c.loop.Now()
+	f()
+	c.recordUsage(startedAt)
+}
+
 // receive reads bytes, waiting for some if necessary, and buffers them. It reports whether any were buffered for the handler. The read
 // from the socket and the buffering are a single critical section, so that Peek finds each byte either in the buffer or in the socket.
 func (c *Conn) receive(buf []byte) (buffered bool, err error) {
@@ -102,17 +148,18 @@
 	if c.phase != connOpen || c.raw == nil {
 		return len(c.received) > 0, c.eof
 	}
-	anyBuffered := false
+	anyBuffered, bufferSize := false, peekBufferSize
 	for !c.eof && len(c.received) < maxPeekBytes {
 		var n int
 		var err error
-		buf := make([]byte, peekBufferSize)
+		buf := make([]byte, bufferSize)
 		controlErr := c.raw.Control(func(fd uintptr) { n, err = readAvailable(fd, buf) })
 		if controlErr != nil || errors.Is(err, syscall.EAGAIN) {
 			break
 		}
 		anyBuffered = c.bufferReceived(buf[:n]) || anyBuffered
 		c.eof = err != nil
+		bufferSize = readBufferSize
 	}
 	if anyBuffered {
 		c.loop.After(0, c.deliver)
@@ -142,10 +189,18 @@
 		if len(b) == 0 {
 			return
 		}
-		c.handler.Data(b)
+		c.callForPeer(func() { c.handler.Data(b) })
 	}
 }
 
+// recordUsage records that the loop was used for the connection since startedAt.
+func (c *Conn) recordUsage(startedAt time.Duration) {
+	now := c.loop.Now()
+	c.mu.Lock()
+	c.usage.add(now, now-startedAt)
+	c.mu.Unlock()
+}
+
 // Pause stops reading after the current read, until Resume is called.
 func (c *Conn) Pause() { c.setPaused(true) }
 
--- a/internal/transport/frontend/input_limit.go
+++ b/internal/transport/frontend/input_limit.go
@@ -10,6 +10,8 @@
 	guaranteedBytes = 16 << 10 // memory that each client may use, even if the limit for all clients is exceeded
 	// maxExcessBytes is how far incomplete requests may exceed their memory limit while the clients are sought that send nothing.
 	maxExcessBytes = 1 << 20
+	// maxClientsPassedOver is how many clients that are still sending are passed over in the search, since each may cost some milliseconds.
+	maxClientsPassedOver = 4
 )
 
 // inputClient is a client connection whose incomplete request holds memory.
@@ -49,7 +51,7 @@
 			return false
 		}
 		received := readWhatWasSent(other)
-		if received && sending < len(l.open) && l.memory.Excess() <= maxExcessBytes { // the next client may be waiting for longer
+		if received && sending < maxClientsPassedOver && l.memory.Excess() <= maxExcessBytes { // the next client may be waiting for longer
 			sending++
 			continue
 		}
@@ -75,9 +77,21 @@
 	return c.isOpen() && c.incompleteBytes() > guaranteedBytes
 }
 
-// readWhatWasSent handles all bytes that a client has sent, up to the end of an incomplete request. It reports whether there were any.
+// maxDeliveries is how many deliveries of pending bytes complete any request: each has what a socket held, up to a quarter of the longest line.
+const maxDeliveries = 6
+
+// readWhatWasSent handles the bytes that a client has sent, up to the end of an incomplete request. It reports whether there were any.
 func readWhatWasSent[C inputClient](c C) (received bool) {
-	for holdsLongRequest(c) && !c.deliverPending() {
+	return deliverWhile(func() bool { return holdsLongRequest(c) }, c.deliverPending)
+}
+
+// deliverWhile delivers pending bytes while more are needed, but no more than complete a request: a client may send without an end. It
+// reports whether there were any.
+func deliverWhile(needed func() bool, deliverPending func() (none bool)) (received bool) {
+	for range maxDeliveries {
+		if !needed() || deliverPending() {
+			break
+		}
 		received = true
 	}
 	return received
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -118,9 +118,10 @@
 	machine.OnMemoryExceeded(func() bool { return l.input.makeRoom(c) })
 	l.open[c] = true
 	c.conn = eventloop.NewConn(l.dispatcher.Loop, nc, c, mysqlWriteLimit)
+	c.conn.ShareLoop()
 	c.conn.OnDrained(c.resumeIfDrained)
 	c.conn.Write(greeting)
-	c.loginTimer = l.dispatcher.Loop.After(l.loginTimeout, c.loginTimedOut)
+	c.loginTimer = c.conn.After(l.loginTimeout, c.loginTimedOut)
 }
 
 // newScramble returns the random bytes of a server greeting. They must not contain a zero byte or a dollar sign, so all are letters.
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -188,7 +188,7 @@
 	default:
 		c.conn.Write(mysql.FailedPacket())
 	}
-	c.listener.dispatcher.Loop.After(0, c.queryEnded)
+	c.conn.After(0, c.queryEnded)
 }
 
 // queryEnded handles the commands that the client sent while the query was open. If there are none and the listener closes connections
--- a/internal/transport/frontend/platform.go
+++ b/internal/transport/frontend/platform.go
@@ -104,5 +104,6 @@
 	}
 	l.open[c] = true
 	c.conn = eventloop.NewConn(l.dispatcher.Loop, nc, c, clientWriteLimit)
-	c.idleTimer = l.dispatcher.Loop.After(l.requestTimeout, c.requestTimedOut)
+	c.conn.ShareLoop()
+	c.idleTimer = c.conn.After(l.requestTimeout, c.requestTimedOut)
 }
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -28,6 +28,8 @@
 	line      memlimit.Share   // memory of an incomplete line
 	lineTimer *eventloop.Timer // timeout for the rest of that line; nil if there is none
 	inputAt   time.Duration    // when the client last sent bytes
+
+	linesEnded int // reads that completed a line
 }
 
 // Data parses received bytes and handles complete lines.
--- a/internal/transport/frontend/platform_lines.go
+++ b/internal/transport/frontend/platform_lines.go
@@ -14,6 +14,9 @@
 	incomplete := c.session.BufferedBytes()
 	admitted = c.line.Set(incomplete)
 	c.inputAt = c.listener.dispatcher.Loop.Now()
+	if lineEnded {
+		c.linesEnded++
+	}
 	if lineEnded || incomplete == 0 {
 		c.lineTimer.Stop()
 		c.lineTimer = nil
@@ -25,15 +28,16 @@
 }
 
 func (c *client) startLineTimer() {
-	c.lineTimer = c.listener.dispatcher.Loop.After(c.listener.requestTimeout, c.lineTimedOut)
+	c.lineTimer = c.conn.After(c.listener.requestTimeout, c.lineTimedOut)
 }
 
 // lineTimedOut closes a connection whose line was not completed in time. While queries are open, it restarts the timer instead.
 func (c *client) lineTimedOut() {
 	c.lineTimer = nil
-	c.conn.DeliverPending() // the pending bytes may complete the line
+	ended := c.linesEnded
+	deliverWhile(func() bool { return c.conn.IsOpen() && c.linesEnded == ended }, c.conn.DeliverPending)
 	switch {
-	case !c.conn.IsOpen() || c.line.Used() == 0:
+	case !c.conn.IsOpen() || c.line.Used() == 0 || c.linesEnded != ended:
 	case len(c.requests) == 0:
 		c.close("incomplete line")
 	case c.lineTimer == nil:
--- a/internal/transport/frontend/platform_lines_test.go
+++ b/internal/transport/frontend/platform_lines_test.go
@@ -109,3 +109,29 @@
 		}
 	})
 }
+
+// Pending bytes are delivered until a request is complete or nothing is left, in more than one delivery, but not without end. A request that a
+// socket held whole was given up after the first 64 KB of it.
+func TestPendingBytesAreDeliveredUntilRequestIsComplete(t *testing.T) {
+	for name, test := range map[string]struct{ pending, needed, want int }{
+		"nothing pending":     {pending: 0, needed: 9, want: 0},
+		"complete":            {pending: 9, needed: 3, want: 3},
+		"nothing left":        {pending: 2, needed: 9, want: 2},
+		"sending without end": {pending: 1 << 20, needed: 1 << 20, want: maxDeliveries},
+	} {
+		t.Run(name, func(t *testing.T) {
+			delivered := 0
+			deliver := func() (none bool) {
+				if delivered == test.pending {
+					return true
+				}
+				delivered++
+				return false
+			}
+			received := deliverWhile(func() bool { return delivered < test.needed }, deliver)
+			if delivered != test.want || received != (test.want > 0) {
+				t.Errorf("%d deliveries, received %t, want %d", delivered, received, test.want)
+			}
+		})
+	}
+}
--- a/internal/transport/frontend/platform_timeouts.go
+++ b/internal/transport/frontend/platform_timeouts.go
@@ -20,12 +20,12 @@
 		c.idleTimer = loop.After(0, func() { c.shutdownIfIdle(0) })
 		return
 	}
-	c.idleTimer = loop.After(idleTimeout, func() { c.closeIfIdle("idle") })
+	c.idleTimer = c.conn.After(idleTimeout, func() { c.closeIfIdle("idle") })
 }
 
 // requestTimedOut closes a connection whose client has not sent a request in time.
 func (c *client) requestTimedOut() {
-	c.conn.DeliverPending()
+	deliverWhile(func() bool { return c.conn.IsOpen() && !c.sentRequest }, c.conn.DeliverPending)
 	if c.conn.IsOpen() && !c.sentRequest {
 		c.close("no request")
 	}
