jsonrpc: a line is decoded once

Cause: the parameters of a line were decoded apart from it, so that each line was checked and decoded twice.

Change: message and parameters are decoded together. A type error in the parameters is told from others by its field.

--- a/internal/protocol/jsonrpc/session.go
+++ b/internal/protocol/jsonrpc/session.go
@@ -120,7 +120,7 @@
 	Version string          `json:"jsonrpc"`
 	ID      json.RawMessage `json:"id"`
 	Method  string          `json:"method"`
-	Params  json.RawMessage `json:"params"`
+	Params  params          `json:"params"`
 }
 
 // params holds the parameters of all methods.
@@ -137,7 +137,9 @@
 
 func (s *Session) parseLine(line []byte) Event {
 	var m message
-	if err := json.Unmarshal(line, &m); err != nil {
+	err := json.Unmarshal(line, &m)
+	malformedParams := isParamsError(err)
+	if err != nil && !malformedParams {
 		return errorReply(nullID, codeParseError, "not a JSON-RPC line")
 	}
 	id := string(m.ID)
@@ -151,16 +153,26 @@
 	if inUse && m.Method != "abort" { // an error with that ID would be read as the response to the open call
 		return errorReply(nullID, codeInvalidRequest, "the id is in use")
 	}
-	var p params
-	if len(m.Params) > 0 {
-		if err := json.Unmarshal(m.Params, &p); err != nil {
-			if inUse {
-				id = nullID
-			}
-			return errorReply(id, codeInvalidParams, "params are of another form")
+	if malformedParams {
+		if inUse {
+			id = nullID
 		}
+		return errorReply(id, codeInvalidParams, "params are of another form")
 	}
-	return s.parseMethod(id, m.Method, p)
+	return s.parseMethod(id, m.Method, m.Params)
+}
+
+// paramsField is the name of the parameters in a message.
+const paramsField = "params"
+
+// isParamsError reports whether a message was decoded but for its parameters, which are of another type.
+func isParamsError(err error) bool {
+	var typeError *json.UnmarshalTypeError
+	if !errors.As(err, &typeError) {
+		return false
+	}
+	field, _, _ := strings.Cut(typeError.Field, ".")
+	return field == paramsField
 }
 
 func (s *Session) parseMethod(id, method string, p params) Event {
