frontend: a client's close is noticed behind unread input

Cause: the end of a connection was found by reading 64 KB ahead at most, or when all that precedes it had been handled.

Change: the kernel is asked whether the peer has closed (POLLRDHUP), before each first byte, after each failed attempt, and every 50 ms for connections that are not being read.

Evidence: TestClosedConnectionIsNoticedBehindUnreadInput without its call of the new search failed on the code before (not cancelled in 20 s).

--- a/internal/transport/eventloop/conn.go
+++ b/internal/transport/eventloop/conn.go
@@ -63,6 +63,7 @@
 	// waitingSince is when the peer last accepted all bytes of a write, or when the first of the queued bytes was queued.
 	waitingSince time.Duration
 	paused       bool         // the reader waits for resumeSignal after its current read
+	reading      bool         // the reader waits for bytes
 	onDrained    func()       // if not nil, called on the loop whenever all queued bytes have been written
 	sharesLoop   bool         // see ShareLoop
 	usage        decayingTime // time for which the loop has handled received bytes
--- a/internal/transport/eventloop/read.go
+++ b/internal/transport/eventloop/read.go
@@ -5,6 +5,8 @@
 	"io"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const peekBufferSize = 512 // bytes; further ones have readBufferSize
@@ -18,7 +20,9 @@
 		handled <- struct{}{}
 	}
 	for {
+		c.setReading(true)
 		buffered, err := c.receive(buf)
+		c.setReading(false)
 		if buffered {
 			c.postRead(deliver)
 			if !c.loop.waitFor(handled) {
@@ -162,11 +166,59 @@
 		bufferSize = readBufferSize
 	}
 	if anyBuffered {
-		c.loop.After(0, c.deliver)
+		c.After(0, c.deliver)
 	}
 	return len(c.received) > 0, c.eof
 }
 
+func (c *Conn) setReading(reading bool) {
+	c.mu.Lock()
+	c.reading = reading
+	c.mu.Unlock()
+}
+
+// PeerClosed reports whether the peer has closed its side, also if bytes that it sent before have not been read.
+func (c *Conn) PeerClosed() bool {
+	return c.pollEvents(unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// HasInput reports whether bytes from the peer, or its close, have not been handled.
+func (c *Conn) HasInput() bool {
+	c.mu.Lock()
+	received := len(c.received)
+	c.mu.Unlock()
+	return received > 0 || c.pollEvents(unix.POLLIN) != 0
+}
+
+// pollEvents returns the events of the connection, without waiting: some of the given ones, a hang-up or an error.
+func (c *Conn) pollEvents(events int16) (found int16) {
+	if c.raw == nil {
+		return 0
+	}
+	err := c.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if n, err := unix.Poll(fds, 0); err == nil && n > 0 {
+			found = fds[0].Revents
+		}
+	})
+	if err != nil {
+		return unix.POLLERR // the connection is closed
+	}
+	return found
+}
+
+// CloseIfPeerLeft closes the connection, without handling the bytes that have not been delivered, if the peer has closed its side and the
+// reader is not about to notice it, because it is paused or waits for the loop.
+func (c *Conn) CloseIfPeerLeft() {
+	c.mu.Lock()
+	behind := !c.reading
+	c.mu.Unlock()
+	if c.IsOpen() && behind && c.PeerClosed() {
+		c.close()
+		c.handler.Closed(io.EOF)
+	}
+}
+
 // DeliverPending passes all bytes received so far, and EOF, to the handler. It returns true if there was nothing to deliver and the
 // connection is open. The caller may then half-close it immediately: bytes that arrive later were sent before the peer saw the
 // half-close.
--- a/internal/transport/frontend/client_races_test.go
+++ b/internal/transport/frontend/client_races_test.go
@@ -297,6 +297,28 @@
 	})
 }
 
+// The attempts of a client that has closed its connection are cancelled although the gateway does not read what it sent before. They ran until
+// the client's whole input had been read, or, on a connection whose input was rejected, to their end.
+func TestClosedConnectionIsNoticedBehindUnreadInput(t *testing.T) {
+	e := nettest.NewEngine(t, "e")
+	f := newFixture(t, 4, e)
+	nc, c := f.connectPaused()
+	nettest.Send(t, nc, queryLine(11, idempotentClass))
+	f.loop.Do(func() { c.conn.DeliverPending() })
+	engineConn := e.Accept()
+	engineConn.ReadRequest()
+	nettest.Send(t, nc, queryLine(12, idempotentClass))
+	nettest.CloseWrite(t, nc)
+	f.loop.Do(func() {
+		f.departureCheckInterval = time.Millisecond
+		f.watchDepartures(f.loop)
+	})
+	nettest.Eventually(t, "the request to count as cancelled by its client", func() bool { return f.counts().Left == 1 })
+	if n := f.counts(); n.Taken != 1 {
+		t.Errorf("%d queries taken, want the first only", n.Taken)
+	}
+}
+
 // expectNothingSent checks that nothing was sent on a connection to an engine, and that the request counts as cancelled by its client.
 func (f *fixture) expectNothingSent(engineConn *nettest.EngineConn, e *nettest.Engine) {
 	f.t.Helper()
--- a/internal/transport/frontend/listener.go
+++ b/internal/transport/frontend/listener.go
@@ -1,6 +1,10 @@
 package frontend
 
-import "time"
+import (
+	"time"
+
+	"frostpier/internal/transport/eventloop"
+)
 
 // closableConn is a client connection that a connSet can close.
 type closableConn interface {
@@ -10,18 +14,31 @@
 	shutdownIfIdle(minIdle time.Duration) (handledBytes bool)
 	// shutdown closes the connection gracefully.
 	shutdown()
+	// closeIfClientLeft closes the connection if its client has closed it and what the client sent before has not been read.
+	closeIfClientLeft()
 }
 
+// defaultDepartureCheckInterval is the time between two searches for clients that have closed their connections. The attempts of such a client
+// must be cancelled within 100 ms.
+const defaultDepartureCheckInterval = 50 * time.Millisecond
+
 // connSet holds the connections of a listener: the open ones and those that are being closed. It is used on the loop only.
 type connSet[C closableConn] struct {
 	open                map[C]bool
 	lingering           *lingerSet
 	closeAfterResponses bool // close each connection after the response to its last open request
+
+	departureCheckInterval time.Duration
+	departureTimer         *eventloop.Timer // of watchDepartures
 }
 
 func newConnSet[C closableConn](maxConns int) connSet[C] {
 	open := map[C]bool{}
-	return connSet[C]{open: open, lingering: newLingerSet(maxConns, func() int { return len(open) })}
+	return connSet[C]{
+		open:                   open,
+		lingering:              newLingerSet(maxConns, func() int { return len(open) }),
+		departureCheckInterval: defaultDepartureCheckInterval,
+	}
 }
 
 // remove removes a connection that is no longer open.
@@ -30,6 +47,18 @@
 	s.lingering.checkEmpty()
 }
 
+// watchDepartures closes the connections of clients that have left, from now on. A reader notices the end of a connection only after all that
+// was sent before it.
+func (s *connSet[C]) watchDepartures(loop *eventloop.Loop) {
+	s.departureTimer.Stop()
+	s.departureTimer = loop.After(s.departureCheckInterval, func() {
+		for c := range s.open {
+			c.closeIfClientLeft()
+		}
+		s.watchDepartures(loop)
+	})
+}
+
 // maxUnreadPerCheck is the number of connections whose received bytes a CloseIdle handles at most. If the loop is behind, many connections
 // look idle because their requests have not been read, and handling all of these at once would delay the deadlines of other requests.
 const maxUnreadPerCheck = 16
--- a/internal/transport/frontend/mysql.go
+++ b/internal/transport/frontend/mysql.go
@@ -76,6 +76,7 @@
 	}
 	l.log.Info("mysql listener opened", "listen", ln.Addr().String())
 	l.acceptor = &acceptor{loop: l.dispatcher.Loop, log: l.log, ln: ln, handle: l.handleConn, done: func() {}}
+	l.watchDepartures(l.dispatcher.Loop)
 	go l.acceptor.run()
 	return nil
 }
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -72,6 +72,9 @@
 	return false
 }
 
+// closeIfClientLeft implements closableConn.
+func (c *mysqlClient) closeIfClientLeft() { c.conn.CloseIfPeerLeft() }
+
 // shutdown implements closableConn. It handles pending commands first: they must get a response, which the dispatcher gives immediately
 // during shutdown.
 func (c *mysqlClient) shutdown() {
@@ -168,7 +171,7 @@
 func (c *mysqlClient) ReadPendingInput() { c.conn.DeliverPending() }
 
 // PeekInput implements dispatcher.Client.
-func (c *mysqlClient) PeekInput() (pending, closed bool) { return c.conn.Peek() }
+func (c *mysqlClient) PeekInput() (pending, closed bool) { return peekInput(c.conn) }
 
 // Reply writes the last part of the response. If a response failed in the middle of a row, the protocol has no way to report this to the
 // client, so the connection is closed.
--- a/internal/transport/frontend/platform.go
+++ b/internal/transport/frontend/platform.go
@@ -62,6 +62,7 @@
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	l.acceptor = &acceptor{loop: l.dispatcher.Loop, log: l.log, ln: ln, handle: l.handleConn, done: l.stopped}
+	l.dispatcher.Loop.Post(func() { l.watchDepartures(l.dispatcher.Loop) })
 	go l.acceptor.run()
 	return nil
 }
--- a/internal/transport/frontend/platform_request.go
+++ b/internal/transport/frontend/platform_request.go
@@ -5,6 +5,7 @@
 	"frostpier/internal/protocol/enginehttp"
 	"frostpier/internal/protocol/jsonrpc"
 	"frostpier/internal/transport/dispatcher"
+	"frostpier/internal/transport/eventloop"
 )
 
 // Error messages of failed queries, sent to clients.
@@ -38,7 +39,13 @@
 func (r *request) ReadPendingInput() { r.client.conn.DeliverPending() }
 
 // PeekInput implements dispatcher.Client.
-func (r *request) PeekInput() (pending, closed bool) { return r.client.conn.Peek() }
+func (r *request) PeekInput() (pending, closed bool) { return peekInput(r.client.conn) }
+
+// peekInput reports whether bytes from a client are pending, and whether it has closed its connection, also behind more bytes than are peeked.
+func peekInput(c *eventloop.Conn) (pending, closed bool) {
+	pending, closed = c.Peek()
+	return pending, closed || c.PeerClosed()
+}
 
 // Reply writes the response to the query.
 func (r *request) Reply(reply core.Reply, result any) {
