mysql: no KILL QUERY in a new process at the engine's address

Callers would see queries interrupted that nobody cancelled. Found by reading, not seen in operation.

Cause: after the loss of a query's connection its number is killed on another connection to the same address, whoever listens there.

Change: after such a loss KILL goes on a new connection only, and only if its number is above that of the lost one. Otherwise the process is another one and the query has ended: the attempt ends at once as one that may have run.

Evidence: TestKillIsNotSentToNewProcess and TestKillAfterLostConnectionUsesNewConnection failed before (KILL was sent, on a pooled connection).

--- a/internal/protocol/mysql/exchange_kill.go
+++ b/internal/protocol/mysql/exchange_kill.go
@@ -21,7 +21,8 @@
 // sendKill sends KILL QUERY on the control channel, or opens the channel first.
 func (x *Exchange) sendKill() {
 	if !x.connected[attempt.Control] {
-		x.emit(attempt.Open{Channel: attempt.Control, Fresh: x.outcome == policy.Reset})
+		x.controlFresh = x.outcome == policy.Reset || !x.connected[attempt.Primary]
+		x.emit(attempt.Open{Channel: attempt.Control, Fresh: x.controlFresh})
 		return
 	}
 	if !x.sessions[attempt.Control].authenticated {
@@ -32,6 +33,30 @@
 	x.write(attempt.Control, commandPacket(comQuery, statement))
 }
 
+// handleControlLoggedIn kills the query once the control connection is ready. If the primary connection has been lost meanwhile, a pooled
+// control connection may lead to another process, so that a new one is opened.
+func (x *Exchange) handleControlLoggedIn() {
+	switch {
+	case x.connected[attempt.Primary]:
+		x.sendKill()
+	case !x.controlFresh:
+		x.closeChannel(attempt.Control)
+		x.sendKill()
+	case x.newChannel[attempt.Control] && x.engineRestarted():
+		x.finish(x.outcome, nil)
+	default:
+		x.sendKill()
+	}
+}
+
+// engineRestarted reports whether another process has taken the place of the one that ran the query, which has ended with it: the id of a
+// new control connection is not above that of the lost primary one, although a server numbers its connections in ascending order, with 32
+// bits. In the new process the id may belong to a connection of another client, whose query KILL QUERY would end.
+func (x *Exchange) engineRestarted() bool {
+	control, primary := x.sessions[attempt.Control].connectionID, x.sessions[attempt.Primary].connectionID
+	return int32(control-primary) <= 0
+}
+
 func (x *Exchange) scheduleKillRetry() {
 	x.emit(attempt.SetTimer{Timer: attempt.RetryBackoff, After: killRetryBackoff})
 }
--- a/internal/protocol/mysql/exchange_setup.go
+++ b/internal/protocol/mysql/exchange_setup.go
@@ -55,7 +55,7 @@
 // handleLoggedIn continues on a channel whose login is complete.
 func (x *Exchange) handleLoggedIn(channel attempt.Channel) {
 	if channel == attempt.Control {
-		x.sendKill()
+		x.handleControlLoggedIn()
 		return
 	}
 	if x.hasForeignSchema(x.sessions[attempt.Primary]) {
--- a/internal/protocol/mysql/isolation_test.go
+++ b/internal/protocol/mysql/isolation_test.go
@@ -7,6 +7,7 @@
 
 	"frostpier/internal/attempt"
 	"frostpier/internal/memlimit"
+	"frostpier/policy"
 )
 
 // runInSession runs a query in a session, which answers each command with OK. It returns the commands that the engine got, the code of
@@ -146,3 +147,60 @@
 		}
 	}
 }
+
+// greetingOf returns the greeting of a server on the connection with the given id.
+func greetingOf(connectionID uint32) []byte {
+	_, greeting := NewServerConn(nil, connectionID, scramble, memlimit.New(0, guaranteedBytes))
+	return greeting
+}
+
+// A query whose connection was lost is not killed in another process that has taken the engine's address: there the id of the connection may be
+// that of another client, whose query would be ended.
+func TestKillIsNotSentToNewProcess(t *testing.T) {
+	const queryConnection = 50
+	for name, test := range map[string]struct {
+		controlConnection uint32
+		killed            bool
+	}{
+		"same process": {controlConnection: queryConnection + 3, killed: true},
+		"new process":  {controlConnection: 7, killed: false},
+		"same id":      {controlConnection: queryConnection, killed: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", memlimit.New(0, guaranteedBytes))
+			s := idleSession()
+			s.connectionID = queryConnection
+			var primary, control any = s, nil
+			x.Connected(attempt.Primary, &primary, permitted)
+			x.ConnectionLost(attempt.Primary)
+			x.Connected(attempt.Control, &control, permitted)
+			x.Received(attempt.Control, greetingOf(test.controlConnection))
+			var killed, ended bool
+			for _, step := range x.Received(attempt.Control, okPacket(2)) {
+				switch step := step.(type) {
+				case attempt.Write:
+					killed = killed || strings.Contains(string(step.Bytes), "KILL QUERY 50")
+				case attempt.End:
+					ended = step.Outcome == policy.Reset
+				}
+			}
+			if killed != test.killed || ended == test.killed {
+				t.Errorf("killed %t, ended %t, want %t and %t", killed, ended, test.killed, !test.killed)
+			}
+		})
+	}
+}
+
+// Once the connection of a query is lost, KILL QUERY needs a new connection: a pooled one may have been opened to another process.
+func TestKillAfterLostConnectionUsesNewConnection(t *testing.T) {
+	x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", memlimit.New(0, guaranteedBytes))
+	var primary any = idleSession()
+	x.Connected(attempt.Primary, &primary, permitted)
+	x.Cancel(policy.Cancelled)
+	x.ConnectionLost(attempt.Primary)
+	x.ConnectFailed(attempt.Control)
+	steps := x.TimerFired(attempt.RetryBackoff)
+	if !slices.Contains(steps, attempt.Step(attempt.Open{Channel: attempt.Control, Fresh: true})) {
+		t.Errorf("steps %+v, want a new control connection", steps)
+	}
+}
