mysql: an attempt whose KILL is not confirmed stays in flight

Cause: an attempt whose KILL nobody confirmed ended after 5 s, so that the next one could start.

Change: it stays in flight until the time that the request has left is over, and for 5 s after that. Once rows were relayed no other attempt can follow, and the 5 s count from the loss as before.

TestUnconfirmedKillKeepsAttemptInFlight is new.

--- a/internal/protocol/mysql/exchange.go
+++ b/internal/protocol/mysql/exchange.go
@@ -13,7 +13,7 @@
 const (
 	loginTimeout       = 2 * time.Second  // for the login and the setup commands together
 	resultIdleTimeout  = 30 * time.Second // between two reads of a result whose rows are being relayed
-	killConfirmTimeout = 5 * time.Second  // from the first KILL until the attempt ends without a confirmation
+	killConfirmTimeout = 5 * time.Second  // for a confirmation of a KILL, once no further attempt can follow this one
 	killRetryBackoff   = 150 * time.Millisecond
 )
 
@@ -51,6 +51,7 @@
 	metadata        memlimit.Share // memory of the result's metadata
 	outcome         policy.Outcome // outcome of the attempt when the kill is confirmed
 	killSent        bool
+	timeLeftPassed  bool // the time that permission gave to the attempt has passed, so that no further attempt can follow this one
 	steps           []attempt.Step
 }
 
@@ -152,7 +153,7 @@
 	case timer == attempt.RetryBackoff && x.phase == phaseKilling && !x.killSent:
 		x.sendKill()
 	case timer == attempt.UnreachableTimeout:
-		x.finish(x.outcome, nil)
+		x.unreachableTimeoutExpired()
 	}
 	return x.flush()
 }
--- a/internal/protocol/mysql/exchange_kill.go
+++ b/internal/protocol/mysql/exchange_kill.go
@@ -8,16 +8,35 @@
 )
 
 // killQuery requests that the engine kill the query. The attempt stays in flight until the end of the result arrives on the
-// primary connection or, if that connection is lost, until the engine confirms the KILL.
+// primary connection or, if that connection is lost, until the engine confirms the KILL. Without a confirmation the query may still run, so
+// that the attempt stays in flight while another one could follow it.
 func (x *Exchange) killQuery(outcome policy.Outcome) {
 	x.phase, x.outcome = phaseKilling, outcome
-	x.emit(
-		attempt.SetTimer{Timer: attempt.ResponseTimeout},
-		attempt.SetTimer{Timer: attempt.UnreachableTimeout, After: killConfirmTimeout},
-	)
+	x.emit(attempt.SetTimer{Timer: attempt.ResponseTimeout})
+	if x.timeLeftPassed || x.result.rowsRelayed {
+		x.awaitKillConfirmation()
+	}
 	x.sendKill()
 }
 
+// awaitKillConfirmation ends the attempt after killConfirmTimeout, unless it ends before. No other attempt can follow.
+func (x *Exchange) awaitKillConfirmation() {
+	x.timeLeftPassed = true
+	x.emit(attempt.SetTimer{Timer: attempt.UnreachableTimeout, After: killConfirmTimeout})
+}
+
+// unreachableTimeoutExpired handles the end of the time that permission gave to the attempt, or of killConfirmTimeout after it.
+func (x *Exchange) unreachableTimeoutExpired() {
+	switch {
+	case x.phase != phaseKilling:
+		x.timeLeftPassed = true
+	case x.timeLeftPassed:
+		x.finish(x.outcome, nil)
+	default:
+		x.awaitKillConfirmation()
+	}
+}
+
 // sendKill sends KILL QUERY on the control channel, or opens the channel first.
 func (x *Exchange) sendKill() {
 	if !x.connected[attempt.Control] {
--- a/internal/protocol/mysql/exchange_setup.go
+++ b/internal/protocol/mysql/exchange_setup.go
@@ -111,12 +111,13 @@
 		return
 	}
 	// The engine may have started to drain during the setup. The query must then be sent to another engine.
-	if _, ok := x.permission(false); !ok {
+	timeLeft, ok := x.permission(false)
+	if !ok {
 		x.finish(policy.NotSent, nil)
 		return
 	}
 	x.phase = phaseQuerySent
-	x.emit(attempt.SetTimer{Timer: attempt.ResponseTimeout})
+	x.emit(attempt.SetTimer{Timer: attempt.ResponseTimeout}, attempt.SetTimer{Timer: attempt.UnreachableTimeout, After: timeLeft})
 	if execution := x.query.Execution; execution != nil {
 		x.write(attempt.Primary, append(execution.longDataPackets(x.statementID), execution.executePacket(x.statementID)...))
 		return
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -335,3 +335,53 @@
 		}
 	})
 }
+
+// unreachableTimeouts returns the times to which steps set the timer UnreachableTimeout, and whether they end the attempt.
+func unreachableTimeouts(steps []attempt.Step) (set []time.Duration, ended bool) {
+	for _, step := range steps {
+		switch step := step.(type) {
+		case attempt.SetTimer:
+			if step.Timer == attempt.UnreachableTimeout {
+				set = append(set, step.After)
+			}
+		case attempt.End:
+			ended = true
+		}
+	}
+	return set, ended
+}
+
+// An attempt whose KILL is not confirmed stays in flight until no other attempt can follow it, and ends some time after that. A report ran on
+// two engines at once, since the attempt ended after 5 s while KILL got no connection. Once rows were relayed, no other attempt can follow.
+func TestUnconfirmedKillKeepsAttemptInFlight(t *testing.T) {
+	start := func() *Exchange {
+		x, _ := NewExchange(&Query{Account: &Account{}, Text: "SELECT 1"}, "u", "p", memlimit.New(0, guaranteedBytes))
+		var primary any = idleSession()
+		if set, _ := unreachableTimeouts(x.Connected(attempt.Primary, &primary, permitted)); !slices.Equal(set, []time.Duration{time.Second}) {
+			t.Fatalf("timer set to %v, want the time of the attempt", set)
+		}
+		return x
+	}
+	x := start()
+	lost := x.ConnectionLost(attempt.Primary)
+	refused := x.ConnectFailed(attempt.Control)
+	if set, ended := unreachableTimeouts(append(lost, refused...)); len(set) > 0 || ended {
+		t.Errorf("timer set to %v, ended %t while another attempt could follow, want neither", set, ended)
+	}
+	if set, ended := unreachableTimeouts(x.TimerFired(attempt.UnreachableTimeout)); !slices.Equal(set, []time.Duration{killConfirmTimeout}) || ended {
+		t.Errorf("timer set to %v, ended %t at the end of the attempt's time, want only a timer of %v", set, ended, killConfirmTimeout)
+	}
+	if _, ended := unreachableTimeouts(x.TimerFired(attempt.UnreachableTimeout)); !ended {
+		t.Error("the attempt is still in flight after its time and the time for a confirmation")
+	}
+	for name, before := range map[string]func(x *Exchange){
+		"rows relayed": func(x *Exchange) { x.Received(attempt.Primary, rows("a", "b")[:60]) },
+		"time passed":  func(x *Exchange) { x.TimerFired(attempt.UnreachableTimeout) },
+	} {
+		x := start()
+		before(x)
+		if set, _ := unreachableTimeouts(x.ConnectionLost(attempt.Primary)); !slices.Equal(set, []time.Duration{killConfirmTimeout}) {
+			t.Errorf("%s: timer set to %v when the connection is lost, want %v", name, set, killConfirmTimeout)
+		}
+	}
+}
