core: an engine's start in the future counts as now

Cause: the turns of the warm-up budget were counted from the start, and a negative one is no index of a class.

Change: core clamps the start to the time of the list, logs it once and keeps it while the list says the same. Negative starts count as unknown, discovery bounds the number before converting it, and policy counts no time before a start.

--- a/internal/core/engines.go
+++ b/internal/core/engines.go
@@ -10,12 +10,13 @@
 
 // Engine is an engine in the engine list.
 type Engine struct {
-	ID        policy.EngineID
-	Name      string // name in the list, which stays the same when the engine restarts
-	Addr      string
-	Health    policy.Health
-	updatedAt time.Duration     // when an engine list last contained the engine
-	info      policy.EngineInfo // the engine's latest list entry; its health may be outdated
+	ID          policy.EngineID
+	Name        string // name in the list, which stays the same when the engine restarts
+	Addr        string
+	Health      policy.Health
+	updatedAt   time.Duration     // when an engine list last contained the engine
+	listedStart time.Duration     // ListedEngine.Started of the latest list entry
+	info        policy.EngineInfo // the engine's latest list entry; its health may be outdated
 }
 
 // currentInfo returns the engine's last list entry with its current health.
@@ -87,13 +88,29 @@
 
 // updateEngine sets an engine's state to its list entry.
 func (c *Core) updateEngine(now time.Duration, e *Engine, entry ListedEngine) {
-	e.Addr, e.Health, e.updatedAt = entry.Addr, entry.Health, now
+	started := c.startTime(now, e, entry.Started)
+	e.Addr, e.Health, e.updatedAt, e.listedStart = entry.Addr, entry.Health, now, entry.Started
 	e.info = policy.EngineInfo{
 		ID: e.ID, Zone: indexOf(c.host.Zones, entry.Zone), MachineType: indexOf(c.host.MachineTypes, entry.MachineType), Cell: entry.Cell,
-		Health: entry.Health, Scale: entry.Weight, Started: entry.Started,
+		Health: entry.Health, Scale: entry.Weight, Started: started,
 	}
 }
 
+// startTime returns when an engine started, on this host's clock. A start in the future counts as now, since the clocks of machines differ; it
+// stays the same until the engine is listed with another one.
+func (c *Core) startTime(now time.Duration, e *Engine, listed time.Duration) time.Duration {
+	switch {
+	case listed <= 0:
+		return 0
+	case listed == e.listedStart:
+		return e.info.Started
+	case listed <= now:
+		return listed
+	}
+	c.log.Warn("engine start in the future, counting as now", "engine", e.Name, "ahead_ms", (listed - now).Milliseconds())
+	return now
+}
+
 // removeGoneEngines removes the engines that have been gone for longer than goneRetention.
 func (c *Core) removeGoneEngines(now time.Duration) {
 	for id, e := range c.engines {
--- a/internal/protocol/discovery/event.go
+++ b/internal/protocol/discovery/event.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"frostpier/internal/core"
@@ -121,7 +122,7 @@
 		Cell:        e.Cell,
 		Health:      health,
 		Weight:      e.Weight,
-		Started:     time.Duration(e.Started) * time.Millisecond,
+		Started:     milliseconds(e.Started),
 	}, nil
 }
 
@@ -132,3 +133,9 @@
 
 // excerpt returns the quoted start of a line.
 func excerpt(text []byte) string { return fmt.Sprintf("%.80q", text) }
+
+// milliseconds converts a number of milliseconds to a time.Duration. Values out of range become the nearest one.
+func milliseconds(n int64) time.Duration {
+	const largest = math.MaxInt64 / int64(time.Millisecond)
+	return time.Duration(max(-largest, min(largest, n))) * time.Millisecond
+}
--- a/internal/protocol/discovery/stream_test.go
+++ b/internal/protocol/discovery/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -147,3 +148,12 @@
 		t.Fatalf("watch request %q, want %q", request, "after 2\n")
 	}
 }
+
+// A start time out of range becomes the nearest time, not one of another sign.
+func TestStartTimeOutOfRangeKeepsItsSign(t *testing.T) {
+	for n, positive := range map[int64]bool{math.MaxInt64: true, math.MaxInt64 / 1000: true, 1: true, -1: false, math.MinInt64: false} {
+		if got := milliseconds(n); got > 0 != positive || got == 0 {
+			t.Errorf("%d ms: %v, want a time of the same sign", n, got)
+		}
+	}
+}
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -1,6 +1,9 @@
 package policy
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Slow start (rule 4): the work that all gateways together send to an engine during its warm-up is limited to a budget
 // per time span. The gateways stay within it without coordination.
@@ -30,9 +33,12 @@
 		return 1
 	}
 	initial := g.settings.Rules.InitialCapacityShare
-	return initial + (1-initial)*float64(g.now-e.Started)/float64(g.settings.Rules.WarmupTime)
+	return initial + (1-initial)*float64(g.timeSinceStart(e))/float64(g.settings.Rules.WarmupTime)
 }
 
+// timeSinceStart returns how long ago an engine started. It is 0 for an engine whose clock is ahead of this host's.
+func (g *Gateway) timeSinceStart(e *engine) time.Duration { return max(0, g.now-e.Started) }
+
 // withinWarmupBudget reports whether a request fits into this gateway's share of the warm-up budget of an engine. If
 // the engine is not warming up, it always returns true.
 //
@@ -50,7 +56,7 @@
 		return false
 	}
 	budget := g.warmupBudget(e)
-	turn := int((g.now - e.Started) / rules.WarmupBudgetSpan)
+	turn := int(g.timeSinceStart(e) / rules.WarmupBudgetSpan)
 	sharing := g.gatewaysPerTurn(budget, turn)
 	if !g.hasWarmupTurn(e, turn, sharing) {
 		return false
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -66,3 +67,16 @@
 		})
 	}
 }
+
+// Checks that an engine whose start lies in the future, since clocks differ, counts as one that starts now. A gateway panicked at the first
+// request after such an event, as did all others.
+func TestStartInTheFutureCountsAsNow(t *testing.T) {
+	for _, ahead := range []time.Duration{time.Second, 5 * time.Second, 24 * time.Hour, math.MaxInt64 - 2*time.Hour} {
+		g := newTestGateway(t, 1, nil)
+		g.Handle(g.now, EngineList{Kind: ListDelta, Engines: []EngineInfo{{ID: 1, Zone: 1, Started: g.now + ahead}}})
+		g.Handle(g.now+5*time.Second, Arrival{ID: 1, EstimatedWork: time.Millisecond, Remaining: 4 * time.Second})
+		if share, initial := g.warmupFactor(g.engines[0]), g.settings.Rules.InitialCapacityShare; ahead > 5*time.Second && share != initial {
+			t.Errorf("start %v ahead: share of capacity %v, want %v", ahead, share, initial)
+		}
+	}
+}
