frontend: departures are checked with the loop's own tick

The search for clients that have closed their connections had a timer of its own in each gateway, beside that of the lag monitor with the same interval. It is now called by that one, so that an idle gateway wakes up no more often than before. Tests without a lag monitor have no such search, so that the race tests need no interval.

--- a/internal/transport/eventloop/loop.go
+++ b/internal/transport/eventloop/loop.go
@@ -27,6 +27,7 @@
 	lag         time.Duration  // largest recent delay of a timer, decaying over time
 	tickDue     time.Duration  // when the next measurement of the lag is due; 0 = none was started
 	tickDelay   time.Duration  // delay of the last measurement
+	onTick      []func()       // called with each measurement
 	activity    activityCounters
 }
 
@@ -59,10 +60,16 @@
 	l.After(lagInterval, func() {
 		l.tickDelay = l.Now() - l.tickDue
 		l.lag = max(l.tickDelay, time.Duration(float64(l.lag)*lagDecay))
+		for _, f := range l.onTick {
+			f()
+		}
 		l.StartLagMonitor()
 	})
 }
 
+// OnTick adds a function that is called on the loop every 50 ms, with each measurement of the lag. It needs no timer of its own.
+func (l *Loop) OnTick(f func()) { l.onTick = append(l.onTick, f) }
+
 // ReadDelay returns an estimate of how long the bytes that are handled now may have waited to be read: the delay of the last measurement
 // of the lag, or that of the next one if it is overdue, as it is right after the process was suspended; or how long the read has been queued. It is
 // 0 before StartLagMonitor is called.
--- a/internal/transport/frontend/client_races_test.go
+++ b/internal/transport/frontend/client_races_test.go
@@ -309,10 +309,7 @@
 	engineConn.ReadRequest()
 	nettest.Send(t, nc, queryLine(12, idempotentClass))
 	nettest.CloseWrite(t, nc)
-	f.loop.Do(func() {
-		f.departureCheckInterval = time.Millisecond
-		f.watchDepartures(f.loop)
-	})
+	f.loop.Do(f.loop.StartLagMonitor)
 	nettest.Eventually(t, "the request to count as cancelled by its client", func() bool { return f.counts().Left == 1 })
 	if n := f.counts(); n.Taken != 1 {
 		t.Errorf("%d queries taken, want the first only", n.Taken)
--- a/internal/transport/frontend/fixture_test.go
+++ b/internal/transport/frontend/fixture_test.go
@@ -73,7 +73,6 @@
 	}
 	d := dispatcher.New(loop, gatewayCore, p, log)
 	f := &fixture{NewPlatformListener(d, log, 100, 1<<20), t, loop, p, invariants}
-	f.departureCheckInterval = time.Hour // the tests force the order in which a close is noticed
 	if err := f.Serve("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/frontend/listener.go
+++ b/internal/transport/frontend/listener.go
@@ -18,27 +18,17 @@
 	closeIfClientLeft()
 }
 
-// defaultDepartureCheckInterval is the time between two searches for clients that have closed their connections. The attempts of such a client
-// must be cancelled within 100 ms.
-const defaultDepartureCheckInterval = 50 * time.Millisecond
-
 // connSet holds the connections of a listener: the open ones and those that are being closed. It is used on the loop only.
 type connSet[C closableConn] struct {
 	open                map[C]bool
 	lingering           *lingerSet
 	closeAfterResponses bool // close each connection after the response to its last open request
-
-	departureCheckInterval time.Duration
-	departureTimer         *eventloop.Timer // of watchDepartures
+	watchesDepartures   bool // watchDepartures was called
 }
 
 func newConnSet[C closableConn](maxConns int) connSet[C] {
 	open := map[C]bool{}
-	return connSet[C]{
-		open:                   open,
-		lingering:              newLingerSet(maxConns, func() int { return len(open) }),
-		departureCheckInterval: defaultDepartureCheckInterval,
-	}
+	return connSet[C]{open: open, lingering: newLingerSet(maxConns, func() int { return len(open) })}
 }
 
 // remove removes a connection that is no longer open.
@@ -47,16 +37,20 @@
 	s.lingering.checkEmpty()
 }
 
-// watchDepartures closes the connections of clients that have left, from now on. A reader notices the end of a connection only after all that
-// was sent before it.
+// watchDepartures closes the connections of clients that have left, with each tick of the loop. A reader notices the end of a connection only
+// after all that was sent before it, and the attempts of such a client must be cancelled within 100 ms.
 func (s *connSet[C]) watchDepartures(loop *eventloop.Loop) {
-	s.departureTimer.Stop()
-	s.departureTimer = loop.After(s.departureCheckInterval, func() {
-		for c := range s.open {
-			c.closeIfClientLeft()
-		}
-		s.watchDepartures(loop)
-	})
+	if !s.watchesDepartures {
+		s.watchesDepartures = true
+		loop.OnTick(s.closeDeparted)
+	}
+}
+
+// closeDeparted closes the connections of clients that have left.
+func (s *connSet[C]) closeDeparted() {
+	for c := range s.open {
+		c.closeIfClientLeft()
+	}
 }
 
 // maxUnreadPerCheck is the number of connections whose received bytes a CloseIdle handles at most. If the loop is behind, many connections
