--- a/internal/transport/eventloop/read_test.go
+++ b/internal/transport/eventloop/read_test.go
@@ -22,6 +22,7 @@
 		if _, err := peer.Write(make([]byte, unread)); err != nil {
 			t.Error(err)
 		}
+		waitQueued(t, loop, 1) // the reader has read a part, and waits for the loop
 		if closed := c.PeerClosed(); closed {
 			t.Error("the connection counts as closed before its peer has closed it")
 		}
