Client connections and kills: less state, one piece of code for twins

No change of behavior. The platform's and the MySQL client told the listeners of their connection by three forwarding methods each; one accessor serves both. Whether a reader waits for bytes is an atomic flag, in place of two locks a read. An exchange keeps the login of its control connection only. The condition for dropping an ordering key stands once, as do the first steps of two race tests.

--- a/internal/protocol/mysql/exchange.go
+++ b/internal/protocol/mysql/exchange.go
@@ -39,9 +39,9 @@
 	phase           phase
 	sessions        [channelCount]*session
 	connected       [channelCount]bool
-	newChannel      [channelCount]bool // the login took place in this attempt
-	controlFresh    bool               // a new control connection was requested, not a pooled one
-	reused          bool               // an earlier attempt has used the primary connection
+	controlLogin    bool // the login on the control connection took place in this attempt
+	controlFresh    bool // a new control connection was requested, not a pooled one
+	reused          bool // an earlier attempt has used the primary connection
 	permission      attempt.Permission
 	setupQueue      []setupCommand
 	definitionsLeft int          // outstanding packets of a COM_STMT_PREPARE response
@@ -87,8 +87,9 @@
 		*protocolState = s
 	}
 	x.sessions[channel], x.connected[channel] = s, true
-	x.newChannel[channel] = !s.authenticated
-	if channel == attempt.Primary {
+	if channel == attempt.Control {
+		x.controlLogin = !s.authenticated
+	} else {
 		x.permission, x.reused = permission, s.authenticated
 		x.emit(attempt.SetTimer{Timer: attempt.ResponseTimeout, After: loginTimeout})
 	}
--- a/internal/protocol/mysql/exchange_kill.go
+++ b/internal/protocol/mysql/exchange_kill.go
@@ -61,7 +61,7 @@
 	case !x.controlFresh:
 		x.closeChannel(attempt.Control)
 		x.sendKill()
-	case x.newChannel[attempt.Control] && x.engineRestarted():
+	case x.controlLogin && x.engineRestarted():
 		x.finish(x.outcome, nil)
 	default:
 		x.sendKill()
--- a/internal/transport/eventloop/conn.go
+++ b/internal/transport/eventloop/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -53,6 +54,7 @@
 
 	writeSignal  chan struct{} // capacity 1; wakes the writer
 	resumeSignal chan struct{} // capacity 1; wakes a paused reader
+	reading      atomic.Bool   // the reader waits for bytes
 
 	mu          sync.Mutex
 	phase       phase    // written on the loop with mu held; read on the loop or with mu held
@@ -63,7 +65,6 @@
 	// waitingSince is when the peer last accepted all bytes of a write, or when the first of the queued bytes was queued.
 	waitingSince time.Duration
 	paused       bool         // the reader waits for resumeSignal after its current read
-	reading      bool         // the reader waits for bytes
 	onDrained    func()       // if not nil, called on the loop whenever all queued bytes have been written
 	sharesLoop   bool         // see ShareLoop
 	usage        decayingTime // time for which the loop has handled received bytes
--- a/internal/transport/eventloop/read.go
+++ b/internal/transport/eventloop/read.go
@@ -20,9 +20,9 @@
 		handled <- struct{}{}
 	}
 	for {
-		c.setReading(true)
+		c.reading.Store(true)
 		buffered, err := c.receive(buf)
-		c.setReading(false)
+		c.reading.Store(false)
 		if buffered {
 			c.postRead(deliver)
 			if !c.loop.waitFor(handled) {
@@ -171,12 +171,6 @@
 	return len(c.received) > 0, c.eof
 }
 
-func (c *Conn) setReading(reading bool) {
-	c.mu.Lock()
-	c.reading = reading
-	c.mu.Unlock()
-}
-
 // PeerClosed reports whether the peer has closed its side, also if bytes that it sent before have not been read.
 func (c *Conn) PeerClosed() bool {
 	return c.pollEvents(unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
@@ -210,10 +204,7 @@
 // CloseIfPeerLeft closes the connection, without handling the bytes that have not been delivered, if the peer has closed its side and the
 // reader is not about to notice it, because it is paused or waits for the loop.
 func (c *Conn) CloseIfPeerLeft() {
-	c.mu.Lock()
-	behind := !c.reading
-	c.mu.Unlock()
-	if c.IsOpen() && behind && c.PeerClosed() {
+	if c.IsOpen() && !c.reading.Load() && c.PeerClosed() {
 		c.close()
 		c.handler.Closed(io.EOF)
 	}
--- a/internal/transport/frontend/client_races_test.go
+++ b/internal/transport/frontend/client_races_test.go
@@ -282,11 +282,7 @@
 	t.Run("retry", func(t *testing.T) {
 		e, other := nettest.NewEngine(t, "e"), nettest.NewEngine(t, "other")
 		f := newFixture(t, 4, e)
-		nc, c := f.connectPaused()
-		nettest.Send(t, nc, queryLine(11, idempotentClass))
-		f.loop.Do(func() { c.conn.DeliverPending() })
-		engineConn := e.Accept()
-		engineConn.ReadRequest()
+		nc, engineConn := f.startAttemptOfPausedClient(e)
 		nettest.CloseWrite(t, nc)
 		f.listEngines(e, other)
 		io.WriteString(engineConn, failed)
@@ -302,11 +298,7 @@
 func TestClosedConnectionIsNoticedBehindUnreadInput(t *testing.T) {
 	e := nettest.NewEngine(t, "e")
 	f := newFixture(t, 4, e)
-	nc, c := f.connectPaused()
-	nettest.Send(t, nc, queryLine(11, idempotentClass))
-	f.loop.Do(func() { c.conn.DeliverPending() })
-	engineConn := e.Accept()
-	engineConn.ReadRequest()
+	nc, _ := f.startAttemptOfPausedClient(e)
 	nettest.Send(t, nc, queryLine(12, idempotentClass))
 	nettest.CloseWrite(t, nc)
 	f.loop.Do(f.loop.StartLagMonitor)
@@ -316,6 +308,17 @@
 	}
 }
 
+// startAttemptOfPausedClient connects a client as connectPaused does, and waits until the engine has read its query.
+func (f *fixture) startAttemptOfPausedClient(e *nettest.Engine) (net.Conn, *nettest.EngineConn) {
+	f.t.Helper()
+	nc, c := f.connectPaused()
+	nettest.Send(f.t, nc, queryLine(11, idempotentClass))
+	f.loop.Do(func() { c.conn.DeliverPending() })
+	engineConn := e.Accept()
+	engineConn.ReadRequest()
+	return nc, engineConn
+}
+
 // expectNothingSent checks that nothing was sent on a connection to an engine, and that the request counts as cancelled by its client.
 func (f *fixture) expectNothingSent(engineConn *nettest.EngineConn, e *nettest.Engine) {
 	f.t.Helper()
--- a/internal/transport/frontend/input_limit.go
+++ b/internal/transport/frontend/input_limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"frostpier/internal/memlimit"
+	"frostpier/internal/transport/eventloop"
 )
 
 const (
@@ -17,14 +18,12 @@
 // inputClient is a client connection whose incomplete request holds memory.
 type inputClient interface {
 	comparable
-	// isOpen reports whether the connection is open.
-	isOpen() bool
+	// connection returns the client's connection.
+	connection() *eventloop.Conn
 	// incompleteBytes returns the memory of the incomplete request, or 0 if it must not be given up.
 	incompleteBytes() int
 	// lastInputAt returns when bytes were last received.
 	lastInputAt() time.Duration
-	// deliverPending handles the bytes that the client has sent. It reports whether there were none and the connection is open.
-	deliverPending() (none bool)
 	// giveUpInput drops the incomplete request, and closes the connection after the responses to the requests before it.
 	giveUpInput()
 }
@@ -74,7 +73,7 @@
 
 // holdsLongRequest reports whether a client has an incomplete request of more than the guaranteed memory.
 func holdsLongRequest[C inputClient](c C) bool {
-	return c.isOpen() && c.incompleteBytes() > guaranteedBytes
+	return c.connection().IsOpen() && c.incompleteBytes() > guaranteedBytes
 }
 
 // maxDeliveries is how many deliveries of pending bytes complete any request: each has what a socket held, up to a quarter of the longest line.
@@ -82,7 +81,7 @@
 
 // readWhatWasSent handles the bytes that a client has sent, up to the end of an incomplete request. It reports whether there were any.
 func readWhatWasSent[C inputClient](c C) (received bool) {
-	return deliverWhile(func() bool { return holdsLongRequest(c) }, c.deliverPending)
+	return deliverWhile(func() bool { return holdsLongRequest(c) }, c.connection().DeliverPending)
 }
 
 // deliverWhile delivers pending bytes while more are needed, but no more than complete a request: a client may send without an end. It
--- a/internal/transport/frontend/listener.go
+++ b/internal/transport/frontend/listener.go
@@ -14,8 +14,8 @@
 	shutdownIfIdle(minIdle time.Duration) (handledBytes bool)
 	// shutdown closes the connection gracefully.
 	shutdown()
-	// closeIfClientLeft closes the connection if its client has closed it and what the client sent before has not been read.
-	closeIfClientLeft()
+	// connection returns the client's connection.
+	connection() *eventloop.Conn
 }
 
 // connSet holds the connections of a listener: the open ones and those that are being closed. It is used on the loop only.
@@ -49,7 +49,7 @@
 // closeDeparted closes the connections of clients that have left.
 func (s *connSet[C]) closeDeparted() {
 	for c := range s.open {
-		c.closeIfClientLeft()
+		c.connection().CloseIfPeerLeft()
 	}
 }
 
--- a/internal/transport/frontend/mysql_client.go
+++ b/internal/transport/frontend/mysql_client.go
@@ -72,9 +72,6 @@
 	return false
 }
 
-// closeIfClientLeft implements closableConn.
-func (c *mysqlClient) closeIfClientLeft() { c.conn.CloseIfPeerLeft() }
-
 // shutdown implements closableConn. It handles pending commands first: they must get a response, which the dispatcher gives immediately
 // during shutdown.
 func (c *mysqlClient) shutdown() {
@@ -102,8 +99,8 @@
 	}
 }
 
-// isOpen implements inputClient.
-func (c *mysqlClient) isOpen() bool { return c.conn.IsOpen() }
+// connection implements closableConn and inputClient.
+func (c *mysqlClient) connection() *eventloop.Conn { return c.conn }
 
 // incompleteBytes implements inputClient.
 func (c *mysqlClient) incompleteBytes() int { return c.machine.IncompleteBytes() }
@@ -111,9 +108,6 @@
 // lastInputAt implements inputClient.
 func (c *mysqlClient) lastInputAt() time.Duration { return c.inputAt }
 
-// deliverPending implements inputClient.
-func (c *mysqlClient) deliverPending() (none bool) { return c.conn.DeliverPending() }
-
 // giveUpInput implements inputClient.
 func (c *mysqlClient) giveUpInput() { c.execute(c.machine.GiveUpInput()) }
 
--- a/internal/transport/frontend/platform_client.go
+++ b/internal/transport/frontend/platform_client.go
@@ -150,9 +150,6 @@
 	return !c.closeIfIdle("stopped")
 }
 
-// closeIfClientLeft implements closableConn.
-func (c *client) closeIfClientLeft() { c.conn.CloseIfPeerLeft() }
-
 // shutdown implements closableConn. It handles pending requests first: they must get a response, which the dispatcher gives immediately
 // during shutdown.
 func (c *client) shutdown() {
--- a/internal/transport/frontend/platform_lines.go
+++ b/internal/transport/frontend/platform_lines.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"frostpier/internal/transport/eventloop"
 )
 
 // errIncompleteLines is the reason for closing a connection with a long incomplete line while all incomplete lines exceed their memory limit.
@@ -45,8 +47,8 @@
 	}
 }
 
-// isOpen implements inputClient.
-func (c *client) isOpen() bool { return c.conn.IsOpen() }
+// connection implements closableConn and inputClient.
+func (c *client) connection() *eventloop.Conn { return c.conn }
 
 // incompleteBytes implements inputClient.
 func (c *client) incompleteBytes() int { return c.line.Used() }
@@ -54,9 +56,6 @@
 // lastInputAt implements inputClient.
 func (c *client) lastInputAt() time.Duration { return c.inputAt }
 
-// deliverPending implements inputClient.
-func (c *client) deliverPending() (none bool) { return c.conn.DeliverPending() }
-
 // giveUpInput implements inputClient.
 func (c *client) giveUpInput() {
 	c.stopReading(errIncompleteLines)
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -44,6 +44,11 @@
 	pausedBy    *request // the request that caused the pause and may be sent during it
 }
 
+// unneeded reports whether the key has no requests and its pause has ended.
+func (q *keyQueue) unneeded(now time.Duration) bool {
+	return len(q.requests) == 0 && now >= q.pausedUntil
+}
+
 // findAttempt returns an attempt of a known request, or nil.
 func (g *Gateway) findAttempt(id RequestID, number int) *attempt {
 	r := g.requests[id]
@@ -125,13 +130,13 @@
 	g.deleteRequest(r)
 	if queue := g.keyQueues[r.OrderingKey]; queue != nil {
 		queue.requests = remove(queue.requests, r)
-		if len(queue.requests) == 0 && g.now >= queue.pausedUntil {
+		if queue.unneeded(g.now) {
 			delete(g.keyQueues, r.OrderingKey)
 		}
 	}
 }
 
-// deleteRequest deletes the state of a request, and its table group's if nothing else needs it.
+// deleteRequest deletes the state of a request, and releases its table group.
 func (g *Gateway) deleteRequest(r *request) {
 	if g.requests[r.ID] != r {
 		return
@@ -140,11 +145,11 @@
 	g.releaseGroup(r.group)
 }
 
-// expireKeyQueues removes ordering keys without requests whose pause has ended.
+// expireKeyQueues removes the ordering keys that are not needed any more.
 func (g *Gateway) expireKeyQueues() {
 	g.nextKeyExpiry = g.now + keyExpiryInterval
 	for key, queue := range g.keyQueues {
-		if len(queue.requests) == 0 && g.now >= queue.pausedUntil {
+		if queue.unneeded(g.now) {
 			delete(g.keyQueues, key)
 		}
 	}
